--- /dev/null
+++ b/cmd/marigoldmux/main.go
@@ -0,0 +1,22 @@
+// Command marigoldmux runs an entry host and the tools around it.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/marigoldmux/marigoldmux/internal/cli"
+	_ "github.com/marigoldmux/marigoldmux/internal/modules"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	cli.Register()
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/marigoldmux/marigoldmux/internal/dev"
+	"github.com/marigoldmux/marigoldmux/internal/host"
+	"github.com/marigoldmux/marigoldmux/internal/settings"
+)
+
+type serveCommand struct {
+	settings string
+}
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run one entry host" }
+func (*serveCommand) Usage() string {
+	return `serve -settings FILE
+  Runs one entry host until SIGTERM or SIGINT, then stops it gracefully.
+`
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "the settings `file`, JSON with comments")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		return usage("serve needs -settings FILE")
+	}
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return fail(fmt.Errorf("%s:\n%w", c.settings, err))
+	}
+	events, err := newLogger(s.LogLevel)
+	if err != nil {
+		return fail(err)
+	}
+	h, err := host.New(s, dev.Dependencies(s, events, uint64(time.Now().UnixNano())))
+	if err != nil {
+		return fail(err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := h.Start(nil); err != nil {
+		return fail(err)
+	}
+	<-ctx.Done()
+	if err := h.Stop(context.Background()); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+type versionCommand struct{}
+
+func (*versionCommand) Name() string           { return "version" }
+func (*versionCommand) Synopsis() string       { return "print the version" }
+func (*versionCommand) Usage() string          { return "version\n  Prints the version of the program.\n" }
+func (*versionCommand) SetFlags(*flag.FlagSet) {}
+
+func (*versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println("marigoldmux", buildVersion())
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/control/config/config.go
@@ -0,0 +1,247 @@
+// Package config keeps the configuration in force. Documents come from the
+// log; while it is out they come from peers. The newest offset wins and
+// nothing goes back.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/kernel"
+	"github.com/marigoldmux/marigoldmux/internal/logfold"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+
+	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
+)
+
+// NoBase is the base of the first document of a deployment.
+const NoBase = -1
+
+// checkpointAge is the age of the newest checkpoint at which a host appends
+// another; checkpointStagger is added for each host of lower rank, so that
+// usually one host appends.
+const (
+	checkpointAge     = 10 * time.Minute
+	checkpointStagger = 20 * time.Second
+	checkpointRetry   = time.Minute
+)
+
+// peerAskInterval is the time between two questions to peers for a newer
+// configuration while the log is out.
+const peerAskInterval = time.Second
+
+// Put is the log entry of a document.
+type Put struct {
+	// ID is the writer's unique name for the entry.
+	ID string `json:"id"`
+	// Base is the offset of the document that this one replaces; an entry
+	// with another base than the document in force is ignored.
+	Base int64 `json:"base"`
+	// Author names who published the document.
+	Author string `json:"author,omitempty"`
+	// Document is the text, JSON with comments.
+	Document string `json:"document"`
+}
+
+// State is the fold of the stream.
+type State struct {
+	// Offset is the offset of the document in force.
+	Offset int64 `json:"offset"`
+	// Put is the entry in force, with an empty document before the first.
+	Put Put `json:"put"`
+}
+
+// Apply folds a Put. An entry that is not valid or has a stale base is ignored.
+func Apply(state *State, rec logsvc.Record, entry json.RawMessage) {
+	var put Put
+	if json.Unmarshal(entry, &put) != nil {
+		return
+	}
+	current := int64(NoBase)
+	if state.Put.Document != "" {
+		current = state.Offset
+	}
+	if put.Base != current {
+		return
+	}
+	if _, err := document.Parse([]byte(put.Document)); err != nil {
+		return
+	}
+	state.Offset = rec.Offset
+	state.Put = put
+}
+
+func init() { kernel.Register(&Machine{}) }
+
+// Machine is the control state of the configuration.
+type Machine struct {
+	self     control.Self
+	fold     *logfold.Fold[State]
+	document *document.Document
+	offset   int64
+	text     string
+	logUp    bool
+	members  []control.EntryHost
+	asked    time.Time
+	askNext  int
+	written  time.Time
+}
+
+var (
+	_ control.Machine      = (*Machine)(nil)
+	_ control.StreamReader = (*Machine)(nil)
+	_ kernel.Provisioner   = (*Machine)(nil)
+)
+
+// ModuleInfo implements kernel.Module.
+func (*Machine) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "control.config", New: func() kernel.Module { return new(Machine) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Machine) Provision(ctx *kernel.Context) error {
+	m.Init(ctx.Self)
+	return nil
+}
+
+// Init prepares a machine for a host.
+func (m *Machine) Init(self control.Self) {
+	m.self = self
+	m.fold = logfold.New(Apply)
+	m.offset = NoBase
+}
+
+// Streams implements control.StreamReader.
+func (*Machine) Streams() []string { return []string{logsvc.StreamConfig} }
+
+// Step implements control.Machine.
+func (m *Machine) Step(now time.Time, in control.Input) []control.Output {
+	switch in := in.(type) {
+	case control.Record:
+		if in.Stream == logsvc.StreamConfig {
+			m.fold.Take(in.Record)
+			return m.adoptFold()
+		}
+	case control.Truncated:
+		if in.Stream == logsvc.StreamConfig {
+			m.fold.Truncate(in.Oldest)
+		}
+	case control.LogHealth:
+		m.logUp = in.Up
+	case control.MembersChanged:
+		m.members = in.Hosts
+	case control.Heard:
+		return m.heard(in)
+	case control.Tick:
+		return m.tick(now)
+	}
+	return nil
+}
+
+func (m *Machine) adoptFold() []control.Output {
+	state := m.fold.State()
+	if !m.fold.Known() || state.Put.Document == "" {
+		return nil
+	}
+	return m.adopt(state.Offset, state.Put.Document)
+}
+
+// adopt puts a document in force if it is newer than the present one.
+func (m *Machine) adopt(offset int64, text string) []control.Output {
+	if offset <= m.offset {
+		return nil
+	}
+	doc, err := document.Parse([]byte(text))
+	if err != nil {
+		return nil
+	}
+	m.offset, m.text, m.document = offset, text, doc
+	return []control.Output{control.Raise{Input: control.Configured{Offset: offset, Document: doc}}}
+}
+
+func (m *Machine) heard(in control.Heard) []control.Output {
+	switch body := in.Message.GetBody().(type) {
+	case *peerv1.Message_Config:
+		return m.adopt(body.Config.GetOffset(), string(body.Config.GetDocument()))
+	case *peerv1.Message_ConfigWant:
+		if m.offset > body.ConfigWant.GetAfter() {
+			return []control.Output{control.Tell{To: in.From, Message: m.message()}}
+		}
+	case *peerv1.Message_Gossip:
+		return m.compare(in.From, body.Gossip.GetHosts())
+	}
+	return nil
+}
+
+// compare asks a peer for its configuration when it has a newer one.
+func (m *Machine) compare(from string, hosts []*peerv1.HostState) []control.Output {
+	for _, host := range hosts {
+		if host.GetId() == from && host.GetConfigOffset() > m.offset && !m.logUp {
+			return []control.Output{m.ask(from)}
+		}
+	}
+	return nil
+}
+
+func (m *Machine) ask(host string) control.Output {
+	want := &peerv1.ConfigWant{After: m.offset}
+	return control.Tell{To: host, Message: &peerv1.Message{Body: &peerv1.Message_ConfigWant{ConfigWant: want}}}
+}
+
+func (m *Machine) message() *peerv1.Message {
+	config := &peerv1.ConfigDocument{Offset: m.offset, Document: []byte(m.text)}
+	return &peerv1.Message{Body: &peerv1.Message_Config{Config: config}}
+}
+
+func (m *Machine) tick(now time.Time) []control.Output {
+	if !m.logUp || !m.fold.Known() {
+		return m.askPeer(now)
+	}
+	age := checkpointAge + time.Duration(m.rank())*checkpointStagger
+	if m.document == nil || !m.fold.Due(now, age) || now.Sub(m.written) < checkpointRetry {
+		return nil
+	}
+	data, err := m.fold.Checkpoint()
+	if err != nil {
+		return nil
+	}
+	m.written = now
+	id := fmt.Sprintf("checkpoint/%s/%d", m.self.Incarnation, m.fold.Next())
+	return []control.Output{control.Append{Stream: logsvc.StreamConfig, ID: id, Data: data}}
+}
+
+// askPeer asks one peer after another for a newer configuration.
+func (m *Machine) askPeer(now time.Time) []control.Output {
+	if now.Sub(m.asked) < peerAskInterval {
+		return nil
+	}
+	m.asked = now
+	for range m.members {
+		m.askNext = (m.askNext + 1) % len(m.members)
+		if peer := m.members[m.askNext].ID; peer != m.self.ID {
+			return []control.Output{m.ask(peer)}
+		}
+	}
+	return nil
+}
+
+// rank is the number of live hosts with a lower ID.
+func (m *Machine) rank() int {
+	rank := 0
+	for _, host := range m.members {
+		if host.ID < m.self.ID {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Publish implements control.Machine.
+func (m *Machine) Publish(_ time.Time, next *control.Snapshot) {
+	next.Document = m.document
+	next.Offset = m.offset
+	next.LogUp = m.logUp
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// TickInterval is the time between two Tick inputs.
+const TickInterval = 200 * time.Millisecond
+
+// inputBuffer is the number of inputs that wait for the loop.
+const inputBuffer = 4096
+
+// Performer carries out outputs. Perform must not block; answers come back
+// through Loop.Put.
+type Performer interface {
+	Perform(out Output)
+	// Flush ends the batch of outputs of one step of the loop.
+	Flush()
+}
+
+// Loop owns the control state of a host and drives its machines.
+type Loop struct {
+	self      Self
+	machines  []Machine
+	performer Performer
+	inputs    chan Input
+	snapshot  atomic.Pointer[Snapshot]
+	dropped   atomic.Int64
+}
+
+// NewLoop returns a loop without machines.
+func NewLoop(self Self) *Loop {
+	l := &Loop{self: self, inputs: make(chan Input, inputBuffer)}
+	l.publish(time.Now())
+	return l
+}
+
+// Use sets the machines, which see each input in their order. It must be
+// called before Run.
+func (l *Loop) Use(machines []Machine) {
+	l.machines = machines
+	l.publish(time.Now())
+}
+
+// Snapshot returns the newest snapshot, never nil.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+// Streams names the log streams that the machines fold.
+func (l *Loop) Streams() []string {
+	var streams []string
+	seen := map[string]bool{}
+	for _, m := range l.machines {
+		reader, ok := m.(StreamReader)
+		if !ok {
+			continue
+		}
+		for _, stream := range reader.Streams() {
+			if !seen[stream] {
+				seen[stream] = true
+				streams = append(streams, stream)
+			}
+		}
+	}
+	return streams
+}
+
+// Put hands an input to the loop. It waits while the loop is behind and
+// reports false when the context ends first.
+func (l *Loop) Put(ctx context.Context, in Input) bool {
+	select {
+	case l.inputs <- in:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Offer hands an input to the loop and drops it while the loop is behind. It
+// is for traffic goroutines, which must not wait on control state.
+func (l *Loop) Offer(in Input) {
+	select {
+	case l.inputs <- in:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Dropped returns the number of inputs that Offer dropped.
+func (l *Loop) Dropped() int64 { return l.dropped.Load() }
+
+// Run drives the machines until the context ends.
+func (l *Loop) Run(ctx context.Context, performer Performer) {
+	l.performer = performer
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-l.inputs:
+			l.step(in)
+			l.drain()
+		case <-ticker.C:
+			l.step(Tick{})
+		}
+		l.publish(time.Now())
+		l.performer.Flush()
+	}
+}
+
+// drain steps the inputs that are already waiting, so that one snapshot
+// covers them all.
+func (l *Loop) drain() {
+	for range len(l.inputs) {
+		l.step(<-l.inputs)
+	}
+}
+
+func (l *Loop) step(in Input) {
+	Drive(time.Now(), l.machines, in, l.performer.Perform)
+}
+
+// Drive steps machines with an input and with each input raised by them, and
+// hands the other outputs to perform.
+func Drive(now time.Time, machines []Machine, in Input, perform func(Output)) {
+	queue := []Input{in}
+	for len(queue) > 0 {
+		next := queue[0]
+		queue = queue[1:]
+		for _, m := range machines {
+			for _, out := range m.Step(now, next) {
+				if raised, ok := out.(Raise); ok {
+					queue = append(queue, raised.Input)
+					continue
+				}
+				perform(out)
+			}
+		}
+	}
+}
+
+func (l *Loop) publish(now time.Time) {
+	next := &Snapshot{
+		At:        now,
+		Self:      l.self,
+		Hosts:     map[string]EntryHost{},
+		Upstreams: map[string][]*Upstream{},
+		Shares:    map[RouteKey][]VersionShare{},
+		Holds:     map[uint64]time.Time{},
+		InForce:   map[string]int64{},
+	}
+	for _, m := range l.machines {
+		m.Publish(now, next)
+	}
+	l.snapshot.Store(next)
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/document"
+)
+
+// Snapshot is what the control state looked like at a time. It and all that it
+// points to are never changed after it was published.
+type Snapshot struct {
+	At   time.Time
+	Self Self
+	// Document is the configuration in force, nil before the first; Offset is
+	// its offset in the log.
+	Document *document.Document
+	Offset   int64
+	// LogUp tells whether the last call of the log service succeeded.
+	LogUp bool
+	// Leaving tells that this host is stopping; Deadline is when it must be gone.
+	Leaving  bool
+	Deadline time.Time
+	// Hosts holds the live entry hosts, this one included, by ID.
+	Hosts map[string]EntryHost
+	// Upstreams holds the listed upstreams of each service.
+	Upstreams map[string][]*Upstream
+	// Shares holds the share of new requests of each version, by service and route.
+	Shares map[RouteKey][]VersionShare
+	// Holds holds the fingerprints of requests that must not be dispatched,
+	// with the time until which each is held.
+	Holds map[uint64]time.Time
+	// InForce holds the offset of the configuration in force at each entry host.
+	InForce map[string]int64
+	// Rollouts holds the state of each move to a new version.
+	Rollouts []Rollout
+}
+
+// EntryHost is a live entry host.
+type EntryHost struct {
+	ID          string
+	Incarnation string
+	Address     string
+	Zone        string
+	Region      string
+	// Leaving tells that the host takes no new callers.
+	Leaving bool
+}
+
+// Upstream is one upstream with the limits under which this host may use it.
+type Upstream struct {
+	ID      string
+	Address string
+	Zone    string
+	Class   document.HostClass
+	Service string
+	Version string
+	// Open tells that the upstream may get new work: its zone is in, it is not
+	// leaving and it is believed to be alive.
+	Open bool
+	// Limit is the number of requests that this host may have in flight there.
+	Limit int
+	// Cold tells that the upstream is in cold start.
+	Cold bool
+	// Load estimates the share of the upstream's slots in use over all entry
+	// hosts, from 0.
+	Load float64
+	// Price is the price of the host for an hour.
+	Price float64
+	// Prefixes holds the hashes of prompt prefixes in its cache; nil if unknown.
+	Prefixes map[uint64]struct{}
+}
+
+// RouteKey names a route of a service.
+type RouteKey struct {
+	Service, Route string
+}
+
+// VersionShare is the share of new requests that goes to a version.
+type VersionShare struct {
+	Version string
+	Share   float64
+}
+
+// RolloutPhase says how far a move to a new version is.
+type RolloutPhase string
+
+// The phases of a rollout.
+const (
+	RolloutMoving    RolloutPhase = "moving"
+	RolloutDone      RolloutPhase = "done"
+	RolloutTakenBack RolloutPhase = "taken back"
+)
+
+// Rollout is the state of a move to a new version.
+type Rollout struct {
+	Service, Version string
+	// Offset is the offset of the configuration that started the move.
+	Offset int64
+	Phase  RolloutPhase
+	By     time.Time
+	// Reason says why the version was taken back.
+	Reason string
+}
+
+// Upstream returns the upstream of an ID, or nil.
+func (s *Snapshot) Upstream(id string) *Upstream {
+	for _, list := range s.Upstreams {
+		for _, u := range list {
+			if u.ID == id {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+// Held reports whether a fingerprint must not be dispatched at a time.
+func (s *Snapshot) Held(fingerprint uint64, now time.Time) bool {
+	until, held := s.Holds[fingerprint]
+	return held && now.Before(until)
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,297 @@
+// Package dev runs a whole deployment in one process on loopback: entry hosts,
+// the platform's stand-ins and upstreams.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/control/config"
+	"github.com/marigoldmux/marigoldmux/internal/dial"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/host"
+	"github.com/marigoldmux/marigoldmux/internal/httpjson"
+	"github.com/marigoldmux/marigoldmux/internal/logfold"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
+	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/platform/weightstore"
+	"github.com/marigoldmux/marigoldmux/internal/settings"
+	"github.com/marigoldmux/marigoldmux/internal/standin"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+
+	engineBetween = 15 * time.Millisecond
+	enginePrefill = 500 * time.Microsecond
+	engineCold    = 500 * time.Millisecond
+	plainDelay    = 5 * time.Millisecond
+	weightsEvery  = 100 * time.Millisecond
+	listLag       = 300 * time.Millisecond
+	readyPoll     = 20 * time.Millisecond
+)
+
+// ErrStart is the root of errors from starting a system.
+var ErrStart = eris.New("system did not start")
+
+// Options describe a system.
+type Options struct {
+	// Config is the text of the configuration to put in force.
+	Config []byte
+	// Hosts is the number of entry hosts.
+	Hosts  int
+	Events *event.Logger
+	Seed   uint64
+	// Secret is the deployment's shared secret.
+	Secret []byte
+}
+
+// System is a running deployment.
+type System struct {
+	Log     *standin.Log
+	List    *standin.Hosts
+	Cloud   *standin.Cloud
+	Weights *standin.Weights
+	Store   *standin.PlainStore
+	Hosts   []*host.Host
+	// Engines and Plains are the upstreams by host ID.
+	Engines map[string]*standin.Engine
+	Plains  map[string]*standin.Plain
+
+	opts     Options
+	document *document.Document
+	platform string
+
+	mu      sync.Mutex
+	servers map[string]*http.Server
+}
+
+// Start starts a system and puts its configuration in force.
+func Start(opts Options) (*System, error) {
+	doc, err := document.Parse(opts.Config)
+	if err != nil {
+		return nil, err
+	}
+	s := &System{
+		Log:     standin.NewLog(opts.Seed),
+		List:    standin.NewHosts(listLag),
+		Weights: standin.NewWeights(weightsEvery),
+		Store:   standin.NewPlainStore(),
+		Engines: map[string]*standin.Engine{},
+		Plains:  map[string]*standin.Plain{},
+		opts:    opts, document: doc,
+		servers: map[string]*http.Server{},
+	}
+	s.Cloud = standin.NewCloud(s.startUpstream, s.StopUpstream)
+	handler := standin.PlatformHandler(s.Log, s.List, s.Cloud, s.Weights)
+	if s.platform, err = s.serve("platform", handler); err != nil {
+		return nil, err
+	}
+	s.startFleet()
+	if err := s.publish(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	for i := range opts.Hosts {
+		if err := s.startHost(i); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// serve runs an HTTP server on a free port and returns its address.
+func (s *System) serve(name string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", eris.Wrap(ErrStart, err.Error())
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	s.mu.Lock()
+	s.servers[name] = server
+	s.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (s *System) publish() error {
+	data, err := logfold.EncodeEntry(config.Put{
+		ID: "dev-start", Base: config.NoBase, Author: "dev", Document: string(s.opts.Config),
+	})
+	if err != nil {
+		return eris.Wrap(ErrStart, err.Error())
+	}
+	_, err = s.Log.Append(context.Background(), logsvc.StreamConfig, "dev-start", data)
+	return err
+}
+
+// startFleet starts the least number of upstreams of each service, over the
+// zones in turn and over its versions that are proved.
+func (s *System) startFleet() {
+	for _, service := range s.document.Services {
+		count := 1
+		if service.Hosts != nil {
+			count = service.Hosts.Min
+		}
+		for i := range count {
+			zone := s.document.AvailabilityZones[i%len(s.document.AvailabilityZones)].Name
+			s.startUpstream(cloud.StartRequest{
+				ID: fmt.Sprintf("%s-%d", service.Name, i), Service: service.Name,
+				Version: service.Versions[0].Name, Zone: zone, Class: document.Reclaimable,
+			})
+		}
+	}
+}
+
+// startUpstream starts a stand-in upstream and lists it.
+func (s *System) startUpstream(req cloud.StartRequest) {
+	service := s.document.Service(req.Service)
+	if service == nil {
+		return
+	}
+	var handler http.Handler
+	s.mu.Lock()
+	seed := s.opts.Seed + uint64(len(s.Engines)+len(s.Plains))
+	if service.Kind == document.KindEngine {
+		e := standin.NewEngine(standin.EngineOptions{
+			Version: req.Version, Slots: service.Upstream.MaxInFlight,
+			ColdSlots: service.Upstream.ColdInFlight, ColdStart: engineCold,
+			Prefill: enginePrefill, Between: engineBetween,
+			ChecksFencing: service.Upstream.ChecksFencing, Seed: seed,
+		})
+		s.Engines[req.ID] = e
+		handler = standin.EngineHandler(e)
+	} else {
+		p := standin.NewPlain(req.ID, s.Store, plainDelay, seed)
+		s.Plains[req.ID] = p
+		handler = standin.PlainHandler(p)
+	}
+	s.mu.Unlock()
+	address, err := s.serve(req.ID, handler)
+	if err != nil {
+		return
+	}
+	s.List.Put(hostlist.Host{
+		ID: req.ID, Role: hostlist.RoleUpstream, Address: address, Zone: req.Zone,
+		Class: req.Class, Service: req.Service, Version: req.Version,
+	})
+}
+
+// StopUpstream takes an upstream away at once.
+func (s *System) StopUpstream(id string) {
+	s.mu.Lock()
+	server := s.servers[id]
+	delete(s.servers, id)
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+	s.List.Remove(id)
+}
+
+func (s *System) startHost(index int) error {
+	zones := s.document.AvailabilityZones
+	zone := zones[index%len(zones)]
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return eris.Wrap(ErrStart, err.Error())
+	}
+	base := "http://" + s.platform
+	set := &settings.Settings{
+		Host: fmt.Sprintf("entry-%d", index), Listen: listener.Addr().String(), Address: listener.Addr().String(),
+		AvailabilityZone: zone.Name, Region: zone.Region,
+		Platform: settings.Platform{
+			Log: base + "/log", HostList: base + "/hostlist", Cloud: base + "/cloud", Weights: base + "/weights",
+		},
+		Secret: s.opts.Secret,
+	}
+	h, err := host.New(set, Dependencies(set, s.opts.Events, s.opts.Seed+uint64(index)))
+	if err != nil {
+		return err
+	}
+	if err := h.Start(listener); err != nil {
+		return err
+	}
+	s.Hosts = append(s.Hosts, h)
+	s.List.Put(hostlist.Host{
+		ID: set.Host, Role: hostlist.RoleEntry, Address: set.Address, Zone: zone.Name, Class: document.Reclaimable,
+	})
+	return nil
+}
+
+// Dependencies returns the dependencies of a host that reaches everything over HTTP.
+func Dependencies(s *settings.Settings, events *event.Logger, seed uint64) host.Dependencies {
+	client := httpjson.NewClient()
+	return host.Dependencies{
+		Platform: host.Platform{
+			Log:     logsvc.NewClient(s.Platform.Log, client),
+			Hosts:   hostlist.NewClient(s.Platform.HostList, client),
+			Cloud:   cloud.NewClient(s.Platform.Cloud, client),
+			Weights: weightstore.NewClient(s.Platform.Weights, client),
+		},
+		Dialer: dial.NewHTTP(),
+		Events: events,
+		Seed:   seed,
+	}
+}
+
+// AwaitReady waits until every entry host has the configuration in force and
+// sees all hosts and an open upstream of each service.
+func (s *System) AwaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !s.ready() {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ErrStart, "hosts are not ready")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *System) ready() bool {
+	for _, h := range s.Hosts {
+		snapshot := h.Loop().Snapshot()
+		if snapshot.Document == nil || len(snapshot.Hosts) < len(s.Hosts) {
+			return false
+		}
+		for _, service := range s.document.Services {
+			if !anyOpen(snapshot.Upstreams[service.Name]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Close ends the system at once.
+func (s *System) Close() {
+	for _, h := range s.Hosts {
+		h.Kill()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+func anyOpen(upstreams []*control.Upstream) bool {
+	for _, u := range upstreams {
+		if u.Open {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,73 @@
+// Package dial makes clients of upstreams and peers by address.
+package dial
+
+import (
+	"net/http"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
+	"github.com/marigoldmux/marigoldmux/internal/httpjson"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/plain"
+)
+
+// Dialer makes clients by the address of the other side, an IP and a port.
+type Dialer interface {
+	Engine(address string) engine.Engine
+	Plain(address string) plain.Service
+	Peer(address string) peerv1connect.PeerServiceClient
+}
+
+// HTTP makes clients that speak HTTP and keeps one of each kind an address.
+type HTTP struct {
+	client  *http.Client
+	options []connect.ClientOption
+
+	mu      sync.Mutex
+	engines map[string]engine.Engine
+	plains  map[string]plain.Service
+	peers   map[string]peerv1connect.PeerServiceClient
+}
+
+var _ Dialer = (*HTTP)(nil)
+
+// NewHTTP returns a dialer; the options apply to clients of peers.
+func NewHTTP(options ...connect.ClientOption) *HTTP {
+	return &HTTP{
+		client:  httpjson.NewClient(),
+		options: options,
+		engines: map[string]engine.Engine{},
+		plains:  map[string]plain.Service{},
+		peers:   map[string]peerv1connect.PeerServiceClient{},
+	}
+}
+
+// Engine implements Dialer.
+func (d *HTTP) Engine(address string) engine.Engine {
+	return cached(d, d.engines, address, func() engine.Engine { return engine.NewClient("http://"+address, d.client) })
+}
+
+// Plain implements Dialer.
+func (d *HTTP) Plain(address string) plain.Service {
+	return cached(d, d.plains, address, func() plain.Service { return plain.NewClient("http://"+address, d.client) })
+}
+
+// Peer implements Dialer.
+func (d *HTTP) Peer(address string) peerv1connect.PeerServiceClient {
+	return cached(d, d.peers, address, func() peerv1connect.PeerServiceClient {
+		return peerv1connect.NewPeerServiceClient(d.client, "http://"+address, d.options...)
+	})
+}
+
+func cached[T any](d *HTTP, clients map[string]T, address string, make func() T) T {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := clients[address]
+	if !ok {
+		client = make()
+		clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,288 @@
+// Package dispatch answers for accepted requests: it brings each to an
+// upstream, retries what may be retried and keeps the output for its callers.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/claim"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/dial"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/route"
+	"github.com/marigoldmux/marigoldmux/internal/stream"
+)
+
+// endedRetention is how long the output of an ended request is kept.
+const endedRetention = 2 * time.Minute
+
+// RefusalError says that a request was not accepted and did not run.
+type RefusalError struct {
+	Reason request.Reason
+	// RetryAfter is when to try again; 0 if trying again is of no use.
+	RetryAfter time.Duration
+	// Detail explains the reason.
+	Detail string
+}
+
+// Error gives the reason and the detail.
+func (e *RefusalError) Error() string {
+	return fmt.Sprintf("not run: %s: %s", e.Reason, e.Detail)
+}
+
+// Submission is a request as a caller sent it.
+type Submission struct {
+	Customer, Service, Route string
+	Key                      string
+	Prompt                   string
+	MaxTokens                int
+	Body                     []byte
+	// Timeout shortens the route's deadline; 0 leaves it.
+	Timeout time.Duration
+}
+
+// Options are what a Dispatcher works with.
+type Options struct {
+	Self     control.Self
+	Snapshot func() *control.Snapshot
+	// Report takes what is learnt from attempts; it must not block.
+	Report func(control.Input)
+	Router route.Router
+	Claims claim.Claims
+	Dialer dial.Dialer
+	Events *event.Logger
+}
+
+// Dispatcher runs the accepted requests of one host.
+type Dispatcher struct {
+	opts     Options
+	sequence atomic.Uint64
+
+	mu    sync.Mutex
+	calls map[string]*Call
+	// perCustomer counts the calls that have not ended.
+	perCustomer map[string]int
+	running     sync.WaitGroup
+	counters    Counters
+}
+
+// Counters count what became of requests.
+type Counters struct {
+	Accepted, Refused, Answered, NotRun, Unknown atomic.Int64
+	// Retried counts attempts after the first; Recomputed counts tokens that
+	// upstreams computed again because of them.
+	Retried, Recomputed, Tokens, Crossed atomic.Int64
+}
+
+// Call is an accepted request on this host.
+type Call struct {
+	Request *request.Request
+	Output  *stream.Buffer
+	service *document.Service
+	route   *document.Route
+	cancel  context.CancelFunc
+}
+
+// New returns a dispatcher without requests.
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{opts: opts, calls: map[string]*Call{}, perCustomer: map[string]int{}}
+}
+
+// Counters returns the dispatcher's counters.
+func (d *Dispatcher) Counters() *Counters { return &d.counters }
+
+// Find returns the call of a request's ID, or nil.
+func (d *Dispatcher) Find(id string) *Call {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls[id]
+}
+
+// Active returns the number of calls that have not ended.
+func (d *Dispatcher) Active() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	active := 0
+	for _, n := range d.perCustomer {
+		active += n
+	}
+	return active
+}
+
+// Cancel ends a call and reports whether it was found.
+func (d *Dispatcher) Cancel(id string) bool {
+	call := d.Find(id)
+	if call == nil {
+		return false
+	}
+	call.cancel()
+	return true
+}
+
+// Submit accepts a request and starts to run it. Its error is a *RefusalError.
+func (d *Dispatcher) Submit(sub Submission) (*Call, error) {
+	call, err := d.accept(sub)
+	if err != nil {
+		d.counters.Refused.Add(1)
+		return nil, err
+	}
+	d.counters.Accepted.Add(1)
+	d.start(call)
+	return call, nil
+}
+
+func (d *Dispatcher) accept(sub Submission) (*Call, error) {
+	snapshot := d.opts.Snapshot()
+	if snapshot.Document == nil {
+		return nil, refuse(request.ReasonNotConfigured, retrySoon, "no configuration is in force yet")
+	}
+	service := snapshot.Document.Service(sub.Service)
+	if service == nil {
+		return nil, refuse(request.ReasonInvalid, 0, "no service %q", sub.Service)
+	}
+	r := service.Route(sub.Route)
+	if r == nil {
+		return nil, refuse(request.ReasonInvalid, 0, "no route %q of service %q", sub.Route, sub.Service)
+	}
+	customer := snapshot.Document.Customer(sub.Customer)
+	if customer == nil {
+		return nil, refuse(request.ReasonInvalid, 0, "no customer %q", sub.Customer)
+	}
+	if err := checkSubmission(service, r, &sub); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	fingerprint := request.Fingerprint(sub.Service, sub.Route, sub.Prompt, sub.Body)
+	if snapshot.Held(fingerprint, now) {
+		return nil, refuse(request.ReasonHeldBack, 0, "requests like this one stopped several upstreams")
+	}
+	deadline := r.Deadline.D()
+	if sub.Timeout > 0 {
+		deadline = min(deadline, sub.Timeout)
+	}
+	call := &Call{
+		Request: &request.Request{
+			ID:       d.nextID(),
+			Customer: sub.Customer, Service: sub.Service, Route: sub.Route, Key: sub.Key,
+			Prompt: sub.Prompt, MaxTokens: sub.MaxTokens, Body: sub.Body,
+			Accepted: now, Deadline: now.Add(deadline), Fingerprint: fingerprint,
+		},
+		Output:  stream.New(nil),
+		service: service,
+		route:   r,
+	}
+	return call, d.register(call, customer)
+}
+
+func (d *Dispatcher) nextID() string {
+	id := request.ID{Host: d.opts.Self.ID, Incarnation: d.opts.Self.Incarnation, Sequence: d.sequence.Add(1)}
+	return id.String()
+}
+
+const retrySoon = time.Second
+
+func refuse(reason request.Reason, retryAfter time.Duration, format string, args ...any) *RefusalError {
+	return &RefusalError{Reason: reason, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
+}
+
+func checkSubmission(service *document.Service, r *document.Route, sub *Submission) error {
+	if service.Kind == document.KindEngine {
+		if strings.TrimSpace(sub.Prompt) == "" {
+			return refuse(request.ReasonInvalid, 0, "the prompt is empty")
+		}
+		if sub.MaxTokens < 0 || sub.MaxTokens > r.MaxTokens {
+			return refuse(request.ReasonInvalid, 0, "maxTokens is not from 0 to %d", r.MaxTokens)
+		}
+		if sub.MaxTokens == 0 {
+			sub.MaxTokens = r.MaxTokens
+		}
+		return nil
+	}
+	if !r.Idempotent && sub.Key == "" {
+		return refuse(request.ReasonInvalid, 0, "route %q needs an Idempotency-Key", r.Name)
+	}
+	return nil
+}
+
+// register counts the call against its customer's limit and makes it findable.
+func (d *Dispatcher) register(call *Call, customer *document.Customer) error {
+	limit := customer.MaxInFlight
+	if limit == 0 {
+		limit = math.MaxInt
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.perCustomer[customer.Name] >= limit {
+		return refuse(request.ReasonCustomerLimit, retrySoon, "customer %q has %d requests here", customer.Name, limit)
+	}
+	d.perCustomer[customer.Name]++
+	d.calls[call.Request.ID] = call
+	return nil
+}
+
+func (d *Dispatcher) start(call *Call) {
+	ctx, cancel := context.WithDeadline(context.Background(), call.Request.Deadline)
+	call.cancel = cancel
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		defer cancel()
+		d.end(call, d.run(ctx, call))
+	}()
+}
+
+func (d *Dispatcher) run(ctx context.Context, call *Call) request.Result {
+	switch {
+	case call.service.Kind == document.KindEngine:
+		return d.runEngine(ctx, call)
+	case call.route.Idempotent:
+		return d.runPlain(ctx, call)
+	default:
+		return d.runOnce(ctx, call)
+	}
+}
+
+func (d *Dispatcher) end(call *Call, result request.Result) {
+	call.Output.Finish(result)
+	switch result.Outcome {
+	case request.Answer:
+		d.counters.Answered.Add(1)
+	case request.NotRun:
+		d.counters.NotRun.Add(1)
+	default:
+		d.counters.Unknown.Add(1)
+	}
+	d.mu.Lock()
+	d.perCustomer[call.Request.Customer]--
+	d.mu.Unlock()
+	time.AfterFunc(endedRetention, func() { d.forget(call.Request.ID) })
+}
+
+func (d *Dispatcher) forget(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.calls, id)
+}
+
+// Drain waits until all calls have ended or the context ends.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		d.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/plain.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/route"
+	"github.com/marigoldmux/marigoldmux/internal/upstream"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/plain"
+)
+
+// runPlain runs an idempotent call of a plain service.
+func (d *Dispatcher) runPlain(ctx context.Context, call *Call) request.Result {
+	failed := map[string]bool{}
+	for {
+		lease, end := d.acquire(ctx, call, failed)
+		if end != nil {
+			return *end
+		}
+		answer, err := d.callPlain(ctx, call, lease)
+		if err == nil {
+			return plainResult(answer)
+		}
+		if end := d.afterFailure(ctx, call, lease, err, failed); end != nil {
+			return *end
+		}
+	}
+}
+
+func plainResult(answer plain.Answer) request.Result {
+	return request.Result{Outcome: request.Answer, ContentType: answer.ContentType, Body: answer.Body}
+}
+
+func (d *Dispatcher) callPlain(ctx context.Context, call *Call, lease *route.Lease) (plain.Answer, error) {
+	defer lease.Release()
+	call.Request.Attempts++
+	attempt := attempt{call: call, upstream: lease.Upstream, started: time.Now()}
+	answer, err := d.opts.Dialer.Plain(lease.Upstream.Address).Call(ctx, plain.Call{
+		RequestID: fmt.Sprintf("%s/%d", call.Request.ID, call.Request.Attempts),
+		Route:     call.Request.Route,
+		Body:      call.Request.Body,
+	})
+	d.reportAttempt(&attempt, err)
+	if upstream.KindOf(err) == upstream.Crossed && err != nil {
+		d.counters.Crossed.Add(1)
+	}
+	return answer, err
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,284 @@
+// Package entry serves callers over HTTP.
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/dispatch"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/kernel"
+	"github.com/marigoldmux/marigoldmux/internal/request"
+)
+
+// The header fields of the interface towards callers.
+const (
+	// HeaderCustomer names the customer on whose behalf a caller asks.
+	HeaderCustomer = "X-Customer"
+	// HeaderRequestID carries a request's ID.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderIdempotencyKey carries the caller's key, or a ticket.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTimeout carries the caller's deadline in milliseconds from now.
+	HeaderTimeout = "X-Timeout-Ms"
+	// HeaderOutcome carries how the request ended.
+	HeaderOutcome = "X-Outcome"
+	// HeaderLastEventID carries the offset of the last token that a caller has.
+	HeaderLastEventID = "Last-Event-ID"
+)
+
+const (
+	// maxBody bounds the body of a caller's request, in bytes.
+	maxBody = 8 << 20
+	// maxKey bounds an idempotency key, in bytes.
+	maxKey = 256
+	// hostsLifetime is how long callers may keep the answer to which hosts to use.
+	hostsLifetime = 2 * time.Second
+	// hostsNamed is the number of hosts in that answer.
+	hostsNamed = 3
+)
+
+func init() { kernel.Register(&Module{}) }
+
+// Module serves callers.
+type Module struct {
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	follower   Follower
+}
+
+// Follower finds requests on this host and, through peers, on others.
+type Follower interface {
+	// Follow calls emit with what a request produced from an offset on until
+	// it ends, emit fails or the context of the HTTP request ends. It reports
+	// false when no host knows the request.
+	Follow(r *http.Request, id string, offset int, emit func(Part) error) (bool, error)
+	// Cancel ends a request and reports whether it was found.
+	Cancel(r *http.Request, id string) bool
+}
+
+// Part is a piece of a request's output.
+type Part struct {
+	// Offset is the offset of the first of Tokens.
+	Offset int
+	Tokens []string
+	// Result is set at the end.
+	Result *request.Result
+	// Moved is set when the caller is to go on at another host.
+	Moved *control.EntryHost
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "http.entry", New: func() kernel.Module { return new(Module) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) (err error) {
+	if m.loop, err = kernel.Lookup[*control.Loop](ctx); err != nil {
+		return err
+	}
+	if m.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx); err != nil {
+		return err
+	}
+	m.follower, err = kernel.Lookup[Follower](ctx)
+	return err
+}
+
+// Routes implements kernel.Router.
+func (m *Module) Routes(e *echo.Echo) {
+	e.GET("/v1/hosts", m.hosts)
+	e.POST("/v1/services/:service/routes/:route", m.submit)
+	e.GET("/v1/requests/:id", m.outcome)
+	e.GET("/v1/requests/:id/stream", m.resume)
+	e.DELETE("/v1/requests/:id", m.cancel)
+	e.GET("/healthz", m.health)
+	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+}
+
+// ErrorAnswer is the body of every answer that is not a success.
+type ErrorAnswer struct {
+	RequestID string `json:"requestId,omitempty"`
+	// Outcome is "not-run" or "unknown".
+	Outcome string         `json:"outcome"`
+	Reason  request.Reason `json:"reason"`
+	Detail  string         `json:"detail,omitempty"`
+	// RetryAfterMs is when to try again; 0 if that is of no use.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+}
+
+// HostsAnswer tells a caller which hosts to use.
+type HostsAnswer struct {
+	Hosts []NamedHost `json:"hosts"`
+	// LifetimeMs is how long the answer may be kept.
+	LifetimeMs int64 `json:"lifetimeMs"`
+}
+
+// NamedHost is a host that a caller may use.
+type NamedHost struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"availabilityZone"`
+}
+
+func (m *Module) hosts(c echo.Context) error {
+	snapshot := m.loop.Snapshot()
+	answer := HostsAnswer{LifetimeMs: hostsLifetime.Milliseconds()}
+	for _, host := range chooseHosts(snapshot, c.QueryParam("prefix"), hostsNamed) {
+		answer.Hosts = append(answer.Hosts, NamedHost{ID: host.ID, Address: host.Address, Zone: host.Zone})
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// EngineBody is the body of a request to an engine's route.
+type EngineBody struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"maxTokens,omitempty"`
+}
+
+func (m *Module) submit(c echo.Context) error {
+	sub, err := m.submission(c)
+	if err != nil {
+		return refusal(c, err)
+	}
+	call, err := m.dispatcher.Submit(sub)
+	if err != nil {
+		return refusal(c, err)
+	}
+	id := call.Request.ID
+	c.Response().Header().Set(HeaderRequestID, id)
+	header := c.Request().Header
+	switch {
+	case strings.Contains(header.Get("Accept"), "text/event-stream"):
+		return m.stream(c, id, 0)
+	case strings.Contains(header.Get("Prefer"), "respond-async"):
+		c.Response().Header().Set(echo.HeaderLocation, "/v1/requests/"+id)
+		return c.JSON(http.StatusAccepted, map[string]string{"requestId": id})
+	default:
+		return m.whole(c, id)
+	}
+}
+
+func (m *Module) submission(c echo.Context) (dispatch.Submission, error) {
+	req := c.Request()
+	sub := dispatch.Submission{
+		Customer: req.Header.Get(HeaderCustomer),
+		Service:  c.Param("service"),
+		Route:    c.Param("route"),
+		Key:      req.Header.Get(HeaderIdempotencyKey),
+	}
+	if len(sub.Key) > maxKey {
+		return sub, invalid("the idempotency key is longer than %d bytes", maxKey)
+	}
+	if text := req.Header.Get(HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return sub, invalid("%s is not a number of milliseconds above 0", HeaderTimeout)
+		}
+		sub.Timeout = time.Duration(ms) * time.Millisecond
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), req.Body, maxBody))
+	if err != nil {
+		return sub, invalid("the body is longer than %d bytes or broke off", maxBody)
+	}
+	doc := m.loop.Snapshot().Document
+	if doc == nil {
+		return sub, nil
+	}
+	if !authorised(doc, sub.Customer, req.Header.Get(echo.HeaderAuthorization)) {
+		return sub, invalid("customer %q needs its bearer token", sub.Customer)
+	}
+	if service := doc.Service(sub.Service); service != nil && service.Kind == document.KindEngine {
+		var engineBody EngineBody
+		if err := json.Unmarshal(body, &engineBody); err != nil {
+			return sub, invalid("the body is not a JSON object with a prompt: %v", err)
+		}
+		sub.Prompt, sub.MaxTokens = engineBody.Prompt, engineBody.MaxTokens
+		return sub, nil
+	}
+	if len(body) > 0 && !json.Valid(body) {
+		return sub, invalid("the body is not JSON")
+	}
+	sub.Body = body
+	return sub, nil
+}
+
+// authorised checks a customer's bearer token where the document asks for one.
+func authorised(doc *document.Document, name, authorization string) bool {
+	customer := doc.Customer(name)
+	if customer == nil || customer.TokenHash == "" {
+		return true
+	}
+	token, _ := strings.CutPrefix(authorization, "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(customer.TokenHash)) == 1
+}
+
+func invalid(format string, args ...any) error {
+	return &dispatch.RefusalError{Reason: request.ReasonInvalid, Detail: fmt.Sprintf(format, args...)}
+}
+
+// refusal answers a request that was not accepted.
+func refusal(c echo.Context, err error) error {
+	var refused *dispatch.RefusalError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	answer := ErrorAnswer{
+		Outcome: request.NotRun.String(), Reason: refused.Reason,
+		Detail: refused.Detail, RetryAfterMs: refused.RetryAfter.Milliseconds(),
+	}
+	c.Response().Header().Set(HeaderOutcome, answer.Outcome)
+	if refused.RetryAfter > 0 {
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(int((refused.RetryAfter+time.Second-1)/time.Second)))
+	}
+	return c.JSON(refusalStatus(refused.Reason), answer)
+}
+
+func refusalStatus(reason request.Reason) int {
+	switch reason {
+	case request.ReasonInvalid:
+		return http.StatusBadRequest
+	case request.ReasonCustomerLimit, request.ReasonOverload:
+		return http.StatusTooManyRequests
+	case request.ReasonHeldBack:
+		return http.StatusUnprocessableEntity
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func (m *Module) health(c echo.Context) error {
+	snapshot := m.loop.Snapshot()
+	status := http.StatusOK
+	if snapshot.Document == nil || snapshot.Leaving {
+		status = http.StatusServiceUnavailable
+	}
+	return c.JSON(status, Health{
+		Host: snapshot.Self.ID, Zone: snapshot.Self.Zone, ConfigOffset: snapshot.Offset,
+		LogUp: snapshot.LogUp, Leaving: snapshot.Leaving, Active: m.dispatcher.Active(),
+	})
+}
+
+// Health is the answer of the health page.
+type Health struct {
+	Host         string `json:"host"`
+	Zone         string `json:"availabilityZone"`
+	ConfigOffset int64  `json:"configOffset"`
+	LogUp        bool   `json:"logUp"`
+	Leaving      bool   `json:"leaving"`
+	Active       int    `json:"active"`
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,73 @@
+// Package event defines the numbered events of the structured log. Each event
+// has a number that never changes meaning; docs/EVENTS.md lists them all.
+package event
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of log entry.
+type Event struct {
+	// Number identifies the event for tools.
+	Number int
+	// Level is the severity.
+	Level zapcore.Level
+	// Text is the entry's message.
+	Text string
+}
+
+var (
+	mu      sync.Mutex
+	defined = map[int]*Event{}
+)
+
+// Define registers an event. It panics when the number is taken, which is a
+// fault of the program found at its start.
+func Define(number int, level zapcore.Level, text string) *Event {
+	mu.Lock()
+	defer mu.Unlock()
+	if other, taken := defined[number]; taken {
+		panic(fmt.Sprintf("event %d is defined as %q and as %q", number, other.Text, text))
+	}
+	e := &Event{Number: number, Level: level, Text: text}
+	defined[number] = e
+	return e
+}
+
+// All returns the defined events by number.
+func All() []*Event {
+	mu.Lock()
+	defer mu.Unlock()
+	events := make([]*Event, 0, len(defined))
+	for _, e := range defined {
+		events = append(events, e)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Number < events[j].Number })
+	return events
+}
+
+// Logger writes events.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// NewLogger returns a logger that writes through a zap logger.
+func NewLogger(z *zap.Logger) *Logger { return &Logger{zap: z} }
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger { return NewLogger(zap.NewNop()) }
+
+// With returns a logger that adds fields to each entry.
+func (l *Logger) With(fields ...zap.Field) *Logger { return NewLogger(l.zap.With(fields...)) }
+
+// Emit writes one entry.
+func (l *Logger) Emit(e *Event, fields ...zap.Field) {
+	if entry := l.zap.Check(e.Level, e.Text); entry != nil {
+		entry.Write(append(fields, zap.Int("event", e.Number))...)
+	}
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,231 @@
+// Package host assembles one entry host: the kernel's modules, the control
+// loop with its I/O, and the listener.
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/marigoldmux/marigoldmux/internal/claim"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/dial"
+	"github.com/marigoldmux/marigoldmux/internal/dispatch"
+	"github.com/marigoldmux/marigoldmux/internal/entry"
+	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/kernel"
+	"github.com/marigoldmux/marigoldmux/internal/peer"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
+	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/platform/weightstore"
+	"github.com/marigoldmux/marigoldmux/internal/route"
+	"github.com/marigoldmux/marigoldmux/internal/settings"
+)
+
+// The events of an entry host's life.
+var (
+	eventStarted  = event.Define(101, zapcore.InfoLevel, "host started")
+	eventStopping = event.Define(102, zapcore.InfoLevel, "host stopping")
+	eventStopped  = event.Define(103, zapcore.InfoLevel, "host stopped")
+	eventStopFail = event.Define(104, zapcore.WarnLevel, "module did not stop cleanly")
+	eventCutShort = event.Define(105, zapcore.ErrorLevel, "stop ended before all requests had")
+)
+
+const (
+	defaultDrainTimeout = 30 * time.Second
+	readHeaderTimeout   = 10 * time.Second
+	incarnationBytes    = 6
+)
+
+// ErrStart is the root of errors from starting a host.
+var ErrStart = eris.New("host did not start")
+
+// Platform holds the clients of the platform's services.
+type Platform struct {
+	Log     logsvc.Log
+	Hosts   hostlist.Source
+	Cloud   cloud.API
+	Weights weightstore.Store
+}
+
+// Dependencies are what a host meets outside itself.
+type Dependencies struct {
+	Platform Platform
+	Dialer   dial.Dialer
+	Events   *event.Logger
+	// Seed seeds the random choices of the host.
+	Seed uint64
+}
+
+// Host is one entry host.
+type Host struct {
+	settings   *settings.Settings
+	self       control.Self
+	deps       Dependencies
+	app        *kernel.App
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	echo       *echo.Echo
+	server     *http.Server
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
+}
+
+// NewIncarnation returns a name for one run of a process.
+func NewIncarnation() string {
+	buf := make([]byte, incarnationBytes)
+	_, _ = rand.Read(buf)
+	return hex.EncodeToString(buf)
+}
+
+// New assembles a host. Nothing runs before Start.
+func New(s *settings.Settings, deps Dependencies) (*Host, error) {
+	self := control.Self{
+		ID: s.Host, Incarnation: NewIncarnation(), Address: s.Address,
+		Zone: s.AvailabilityZone, Region: s.Region,
+	}
+	h := &Host{settings: s, self: self, deps: deps, loop: control.NewLoop(self)}
+	h.deps.Events = deps.Events.With(zap.String("host", self.ID))
+	h.dispatcher = dispatch.New(dispatch.Options{
+		Self:     self,
+		Snapshot: h.loop.Snapshot,
+		Report:   h.loop.Offer,
+		Router:   route.NewLeastLoaded(h.loop.Snapshot, deps.Seed),
+		Claims:   claim.NewLocal(),
+		Dialer:   deps.Dialer,
+		Events:   h.deps.Events,
+	})
+	if err := h.prepare(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) prepare() error {
+	ctx := kernel.NewContext(h.settings, h.self, h.deps.Events)
+	kernel.Provide(ctx, h.loop)
+	kernel.Provide(ctx, h.dispatcher)
+	kernel.Provide(ctx, h.deps.Dialer)
+	kernel.Provide(ctx, h.deps.Platform.Log)
+	kernel.Provide[entry.Follower](ctx, &peer.Follower{
+		Snapshot: h.loop.Snapshot, Dispatcher: h.dispatcher, Dialer: h.deps.Dialer,
+	})
+	app, err := kernel.NewApp(ctx)
+	if err != nil {
+		return err
+	}
+	h.app = app
+	h.loop.Use(app.Machines())
+	h.echo = echo.New()
+	h.echo.HideBanner = true
+	h.echo.HidePort = true
+	app.Routes(h.echo)
+	return nil
+}
+
+// Loop returns the host's control loop.
+func (h *Host) Loop() *control.Loop { return h.loop }
+
+// Dispatcher returns the host's dispatcher.
+func (h *Host) Dispatcher() *dispatch.Dispatcher { return h.dispatcher }
+
+// Handler returns the host's HTTP interface.
+func (h *Host) Handler() http.Handler { return h.echo }
+
+// Self returns who the host is.
+func (h *Host) Self() control.Self { return h.self }
+
+// StartControl starts the control loop, its I/O and the modules, without a listener.
+func (h *Host) StartControl() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	io := newPerformer(ctx, h.self, h.loop, h.deps, &h.work)
+	h.goes(func() { h.loop.Run(ctx, io) })
+	for _, stream := range h.loop.Streams() {
+		h.goes(func() { io.readStream(stream) })
+	}
+	h.goes(io.pollHosts)
+	h.goes(io.pollNotices)
+	if err := h.app.Start(ctx); err != nil {
+		cancel()
+		return err
+	}
+	h.deps.Events.Emit(eventStarted, zap.String("availabilityZone", h.self.Zone), zap.String("address", h.self.Address))
+	return nil
+}
+
+func (h *Host) goes(f func()) {
+	h.work.Add(1)
+	go func() {
+		defer h.work.Done()
+		f()
+	}()
+}
+
+// Start starts the host and serves on a listener; nil listens where the
+// settings say.
+func (h *Host) Start(listener net.Listener) error {
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", h.settings.Listen); err != nil {
+			return eris.Wrap(ErrStart, err.Error())
+		}
+	}
+	if err := h.StartControl(); err != nil {
+		return err
+	}
+	h.server = &http.Server{Handler: h.echo, ReadHeaderTimeout: readHeaderTimeout}
+	h.goes(func() {
+		if err := h.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.deps.Events.Emit(eventStopFail, zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// Stop ends the host gracefully: it takes no new requests and waits for the
+// accepted ones. It returns the context's error when they did not end in time.
+func (h *Host) Stop(ctx context.Context) error {
+	h.deps.Events.Emit(eventStopping)
+	timeout := h.settings.DrainTimeout.D()
+	if timeout == 0 {
+		timeout = defaultDrainTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	h.loop.Put(ctx, control.Leaving{Deadline: deadline})
+	err := h.dispatcher.Drain(ctx)
+	if err != nil {
+		h.deps.Events.Emit(eventCutShort, zap.Int("active", h.dispatcher.Active()))
+	}
+	if h.server != nil {
+		err = errors.Join(err, h.server.Shutdown(ctx))
+	}
+	h.Kill()
+	h.deps.Events.Emit(eventStopped)
+	return err
+}
+
+// Kill ends the host at once, without care for its requests.
+func (h *Host) Kill() {
+	for _, err := range h.app.Stop(context.Background()) {
+		h.deps.Events.Emit(eventStopFail, zap.Error(err))
+	}
+	if h.server != nil {
+		_ = h.server.Close()
+	}
+	h.cancel()
+	h.work.Wait()
+}
--- /dev/null
+++ b/internal/host/performer.go
@@ -0,0 +1,249 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/platform/weightstore"
+)
+
+const (
+	callTimeout   = 2 * time.Second
+	readWait      = time.Second
+	readLimit     = 256
+	readBackoff   = 200 * time.Millisecond
+	hostsPoll     = 500 * time.Millisecond
+	noticesPoll   = time.Second
+	maxOutbox     = 1024
+	maxConcurrent = 256
+)
+
+// performer does the I/O of the control loop.
+type performer struct {
+	ctx  context.Context
+	self control.Self
+	loop *control.Loop
+	deps Dependencies
+	work *sync.WaitGroup
+	// slots bounds the calls that run at once.
+	slots chan struct{}
+
+	mu sync.Mutex
+	// outbox holds the messages of this step by receiver.
+	outbox map[string][]*peerv1.Message
+	// sending holds the receivers to which a batch is on its way.
+	sending map[string]bool
+	logUp   bool
+	logSeen bool
+}
+
+var _ control.Performer = (*performer)(nil)
+
+func newPerformer(ctx context.Context, self control.Self, loop *control.Loop, deps Dependencies, work *sync.WaitGroup) *performer {
+	return &performer{
+		ctx: ctx, self: self, loop: loop, deps: deps, work: work,
+		slots:   make(chan struct{}, maxConcurrent),
+		outbox:  map[string][]*peerv1.Message{},
+		sending: map[string]bool{},
+	}
+}
+
+// Perform implements control.Performer.
+func (p *performer) Perform(out control.Output) {
+	switch out := out.(type) {
+	case control.Tell:
+		p.enqueue(out.To, out.Message)
+	case control.Append:
+		p.goes(func(ctx context.Context) control.Input { return p.append(ctx, out) })
+	case control.PollUpstream:
+		p.goes(func(ctx context.Context) control.Input { return p.poll(ctx, out) })
+	case control.StartHost:
+		p.goes(func(ctx context.Context) control.Input {
+			err := p.deps.Platform.Cloud.Start(ctx, out.StartRequest)
+			return control.HostStarted{ID: out.ID, Refused: errors.Is(err, cloud.ErrRefused), Err: err}
+		})
+	case control.StopHost:
+		p.goes(func(ctx context.Context) control.Input {
+			return control.HostStopped{ID: out.ID, Err: p.deps.Platform.Cloud.Stop(ctx, out.ID)}
+		})
+	case control.OrderEngine:
+		p.goes(func(ctx context.Context) control.Input {
+			err := p.deps.Dialer.Engine(out.Address).Order(ctx, out.Order)
+			return control.OrderDone{Upstream: out.Upstream, OrderID: out.Order.ID, Err: err}
+		})
+	case control.ReserveWeights:
+		p.goes(func(ctx context.Context) control.Input { return p.reserve(ctx, out) })
+	}
+}
+
+// goes runs a call beside the loop and gives its answer to the loop.
+func (p *performer) goes(call func(ctx context.Context) control.Input) {
+	p.work.Add(1)
+	go func() {
+		defer p.work.Done()
+		select {
+		case p.slots <- struct{}{}:
+		case <-p.ctx.Done():
+			return
+		}
+		defer func() { <-p.slots }()
+		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+		defer cancel()
+		if in := call(ctx); in != nil {
+			p.loop.Put(p.ctx, in)
+		}
+	}()
+}
+
+func (p *performer) append(ctx context.Context, out control.Append) control.Input {
+	offset, err := p.deps.Platform.Log.Append(ctx, out.Stream, out.ID, out.Data)
+	if err != nil {
+		unknown := !errors.Is(err, logsvc.ErrUnavailable)
+		return control.AppendFailed{Stream: out.Stream, ID: out.ID, Unknown: unknown}
+	}
+	return control.Appended{Stream: out.Stream, ID: out.ID, Offset: offset}
+}
+
+func (p *performer) poll(ctx context.Context, out control.PollUpstream) control.Input {
+	engine := p.deps.Dialer.Engine(out.Address)
+	load, err := engine.Load(ctx)
+	if err == nil && out.CacheAfter >= 0 {
+		events, cacheErr := engine.CacheEvents(ctx, out.CacheAfter)
+		if cacheErr == nil && len(events) > 0 {
+			p.loop.Put(p.ctx, control.CacheChanged{Upstream: out.Upstream, Events: events})
+		}
+	}
+	return control.LoadReported{Upstream: out.Upstream, Load: load, Err: err}
+}
+
+func (p *performer) reserve(ctx context.Context, out control.ReserveWeights) control.Input {
+	err := p.deps.Platform.Weights.Reserve(ctx, weightstore.Load{HostID: out.HostID, Artifact: out.Artifact})
+	answer := control.WeightsReserved{HostID: out.HostID, Artifact: out.Artifact, Err: err}
+	var limited *weightstore.LimitedError
+	if errors.As(err, &limited) {
+		answer.RetryAfter = limited.RetryAfter
+	}
+	return answer
+}
+
+func (p *performer) enqueue(to string, message *peerv1.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.outbox[to]) < maxOutbox {
+		p.outbox[to] = append(p.outbox[to], message)
+	}
+}
+
+// Flush implements control.Performer.
+func (p *performer) Flush() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for to := range p.outbox {
+		if !p.sending[to] {
+			p.sending[to] = true
+			p.work.Add(1)
+			go p.send(to)
+		}
+	}
+}
+
+// send delivers what is in the outbox of a receiver until it is empty.
+func (p *performer) send(to string) {
+	defer p.work.Done()
+	for {
+		p.mu.Lock()
+		messages := p.outbox[to]
+		delete(p.outbox, to)
+		if len(messages) == 0 || p.ctx.Err() != nil {
+			delete(p.sending, to)
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		if err := p.deliver(to, messages); err != nil {
+			p.loop.Put(p.ctx, control.DeliverFailed{To: to})
+		}
+	}
+}
+
+var errNotListed = errors.New("host is not listed")
+
+func (p *performer) deliver(to string, messages []*peerv1.Message) error {
+	host, known := p.loop.Snapshot().Hosts[to]
+	if !known {
+		return errNotListed
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	defer cancel()
+	_, err := p.deps.Dialer.Peer(host.Address).Deliver(ctx, &peerv1.DeliverRequest{
+		From: p.self.ID, Incarnation: p.self.Incarnation, Messages: messages,
+	})
+	return err
+}
+
+// readStream feeds a stream's records to the loop until the host stops.
+func (p *performer) readStream(stream string) {
+	var next int64
+	for p.ctx.Err() == nil {
+		page, err := p.deps.Platform.Log.Read(p.ctx, stream, next, readLimit, readWait)
+		var truncated *logsvc.TruncatedError
+		switch {
+		case errors.As(err, &truncated):
+			next = truncated.Oldest
+			p.loop.Put(p.ctx, control.Truncated{Stream: stream, Oldest: next})
+		case err != nil:
+			p.health(false)
+			p.pause(readBackoff)
+		default:
+			p.health(true)
+			for _, rec := range page.Records {
+				p.loop.Put(p.ctx, control.Record{Stream: stream, Record: rec})
+			}
+			next = page.Next
+		}
+	}
+}
+
+// health tells the loop when the log service goes down or comes back.
+func (p *performer) health(up bool) {
+	p.mu.Lock()
+	changed := !p.logSeen || p.logUp != up
+	p.logUp, p.logSeen = up, true
+	p.mu.Unlock()
+	if changed {
+		p.loop.Put(p.ctx, control.LogHealth{Up: up})
+	}
+}
+
+func (p *performer) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *performer) pollHosts() {
+	for p.ctx.Err() == nil {
+		if list, err := p.deps.Platform.Hosts.Hosts(p.ctx); err == nil {
+			p.loop.Put(p.ctx, control.HostsListed{List: list})
+		}
+		p.pause(hostsPoll)
+	}
+}
+
+func (p *performer) pollNotices() {
+	for p.ctx.Err() == nil {
+		if notices, err := p.deps.Platform.Cloud.Notices(p.ctx); err == nil {
+			p.loop.Put(p.ctx, control.NoticesListed{Notices: notices})
+		}
+		p.pause(noticesPoll)
+	}
+}
--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,129 @@
+// Package httpjson sends JSON over HTTP and tells apart failures in which the
+// request certainly never left this host from those in which it may have.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	maxErrorBody  = 4 << 10
+	maxAnswerBody = 16 << 20
+
+	dialIdlePerHost = 64
+	idleTimeout     = 30 * time.Second
+)
+
+// StatusError is an HTTP answer outside 2xx.
+type StatusError struct {
+	// Code is the HTTP status code.
+	Code int
+	// Message is the start of the answer's body.
+	Message string
+	// Header holds the answer's header fields.
+	Header http.Header
+}
+
+// Error gives the status code and the message.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Code, e.Message)
+}
+
+// TransportError is a call that ended without an HTTP answer.
+type TransportError struct {
+	// Sent is false only when no byte of the request left this host.
+	Sent bool
+	// Err is the cause.
+	Err error
+}
+
+// Error gives the cause.
+func (e *TransportError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *TransportError) Unwrap() error { return e.Err }
+
+// NewClient returns an HTTP client for calls between hosts of one deployment.
+// It follows no redirects and uses no proxy.
+func NewClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: dialIdlePerHost,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Send sends a request and returns the answer, whose body the caller closes.
+// Its errors are *StatusError and *TransportError.
+func Send(client *http.Client, req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, &TransportError{Sent: connected.Load(), Err: err}
+	}
+	if resp.StatusCode/100 == 2 {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	return nil, &StatusError{Code: resp.StatusCode, Message: strings.TrimSpace(string(text)), Header: resp.Header}
+}
+
+// Call sends in as JSON, or no body when in is nil, and decodes the answer into
+// out unless out is nil. Its errors are those of Send.
+func Call(ctx context.Context, client *http.Client, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return &TransportError{Err: err}
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return &TransportError{Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := Send(client, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBody)).Decode(out); err != nil {
+		return &TransportError{Sent: true, Err: err}
+	}
+	return nil
+}
+
+// NeverSent reports whether err shows that no byte of the request left this host.
+func NeverSent(err error) bool {
+	var transport *TransportError
+	return errors.As(err, &transport) && !transport.Sent
+}
+
+// Status returns the HTTP status code in err, or 0.
+func Status(err error) int {
+	var status *StatusError
+	if errors.As(err, &status) {
+		return status.Code
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,264 @@
+// Package jsonc decodes JSON with comments and reports every fault of a
+// document at once, each with its JSON pointer and its line.
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	// Path is the JSON pointer of the faulty value, such as "/services/0/name".
+	Path string `json:"path"`
+	// Line is the line of the value, from 1; 0 where it is not known.
+	Line int `json:"line"`
+	// Message says what is wrong.
+	Message string `json:"message"`
+}
+
+// String formats the fault as "line 3: /services/0/name: message".
+func (f Fault) String() string {
+	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Path, f.Message)
+}
+
+// Faults is a list of faults. It is an error when it is not empty.
+type Faults []Fault
+
+// Error joins the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the list as an error, or nil when it is empty.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Sort orders the faults by line, then by path.
+func (f Faults) Sort() {
+	sort.SliceStable(f, func(i, j int) bool {
+		if f[i].Line != f[j].Line {
+			return f[i].Line < f[j].Line
+		}
+		return f[i].Path < f[j].Path
+	})
+}
+
+// Document is a parsed document whose values can be located in its text.
+type Document struct {
+	src []byte
+	ast hujson.Value
+}
+
+// Parse reads JSON with comments and trailing commas. A syntax error is
+// returned as Faults with one entry.
+func Parse(src []byte) (*Document, error) {
+	ast, err := hujson.Parse(src)
+	if err != nil {
+		return nil, Faults{{Path: "", Line: syntaxLine(err), Message: err.Error()}}
+	}
+	return &Document{src: src, ast: ast}, nil
+}
+
+// syntaxLine extracts the line from an error of hujson, which starts with
+// "hujson: line N, column M".
+func syntaxLine(err error) int {
+	_, rest, found := strings.Cut(err.Error(), "line ")
+	if !found {
+		return 0
+	}
+	digits, _, _ := strings.Cut(rest, ",")
+	line, err := strconv.Atoi(digits)
+	if err != nil {
+		return 0
+	}
+	return line
+}
+
+// Line returns the line of the value at a JSON pointer. For a missing value it
+// returns the line of its nearest parent.
+func (d *Document) Line(path string) int {
+	for {
+		if v := d.ast.Find(path); v != nil {
+			return 1 + bytes.Count(d.src[:v.StartOffset], []byte("\n"))
+		}
+		cut := strings.LastIndexByte(path, '/')
+		if cut < 0 {
+			return 1
+		}
+		path = path[:cut]
+	}
+}
+
+// Fault builds a fault at a JSON pointer.
+func (d *Document) Fault(path, format string, args ...any) Fault {
+	return Fault{Path: path, Line: d.Line(path), Message: fmt.Sprintf(format, args...)}
+}
+
+// Decode fills dst, a pointer to a struct, and reports unknown fields,
+// duplicate fields and values of the wrong type. When it reports any, dst is
+// left unchanged.
+func (d *Document) Decode(dst any) Faults {
+	var faults Faults
+	d.check(&d.ast, reflect.TypeOf(dst).Elem(), "", &faults)
+	if len(faults) > 0 {
+		return faults
+	}
+	standard := d.ast.Clone()
+	standard.Standardize()
+	if err := json.Unmarshal(standard.Pack(), dst); err != nil {
+		return Faults{{Line: 1, Message: err.Error()}}
+	}
+	return nil
+}
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+// check walks the syntax tree beside the Go type it will be decoded into.
+func (d *Document) check(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if reflect.PointerTo(t).Implements(unmarshalerType) {
+		d.checkLeaf(v, t, path, faults)
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		d.checkStruct(v, t, path, faults)
+	case reflect.Map:
+		d.checkMap(v, t, path, faults)
+	case reflect.Slice:
+		d.checkSlice(v, t, path, faults)
+	default:
+		d.checkLeaf(v, t, path, faults)
+	}
+}
+
+func (d *Document) checkStruct(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		*faults = append(*faults, d.Fault(path, "want an object"))
+		return
+	}
+	fields := fieldsByName(t)
+	seen := map[string]bool{}
+	for i := range object.Members {
+		name := memberName(&object.Members[i])
+		child := path + "/" + escape(name)
+		field, known := fields[name]
+		switch {
+		case !known:
+			*faults = append(*faults, d.Fault(child, "unknown field"))
+		case seen[name]:
+			*faults = append(*faults, d.Fault(child, "field given twice"))
+		default:
+			d.check(&object.Members[i].Value, field, child, faults)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *Document) checkMap(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		*faults = append(*faults, d.Fault(path, "want an object"))
+		return
+	}
+	for i := range object.Members {
+		child := path + "/" + escape(memberName(&object.Members[i]))
+		d.check(&object.Members[i].Value, t.Elem(), child, faults)
+	}
+}
+
+func (d *Document) checkSlice(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		*faults = append(*faults, d.Fault(path, "want a list"))
+		return
+	}
+	for i := range array.Elements {
+		d.check(&array.Elements[i], t.Elem(), path+"/"+strconv.Itoa(i), faults)
+	}
+}
+
+func (d *Document) checkLeaf(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+	standard := v.Clone()
+	standard.Standardize()
+	err := json.Unmarshal(standard.Pack(), reflect.New(t).Interface())
+	if err == nil {
+		return
+	}
+	message := err.Error()
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		message = fmt.Sprintf("want a %s, not a %s", t.Kind(), mismatch.Value)
+	}
+	*faults = append(*faults, d.Fault(path, "%s", message))
+}
+
+func fieldsByName(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for field := range t.Fields() {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = field.Type
+		}
+	}
+	return fields
+}
+
+func memberName(m *hujson.ObjectMember) string {
+	literal, ok := m.Name.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return literal.String()
+}
+
+// escape encodes a member name for use in a JSON pointer (RFC 6901).
+func escape(name string) string {
+	return strings.NewReplacer("~", "~0", "/", "~1").Replace(name)
+}
+
+// Duration is a time.Duration written as a string such as "250ms".
+type Duration time.Duration
+
+// D returns the duration as a time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// MarshalJSON writes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a string that time.ParseDuration accepts.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.New(`want a duration such as "250ms"`)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.New(`want a duration such as "250ms"`)
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/internal/logfold/logfold_test.go
@@ -0,0 +1,94 @@
+package logfold_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldmux/marigoldmux/internal/logfold"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	_ "github.com/marigoldmux/marigoldmux/internal/testseed"
+)
+
+// register is a compare-and-set register, the shape of the configuration.
+type register struct {
+	Value int   `json:"value"`
+	At    int64 `json:"at"`
+}
+
+type set struct {
+	Base  int64 `json:"base"`
+	Value int   `json:"value"`
+}
+
+func apply(r *register, rec logsvc.Record, entry json.RawMessage) {
+	var s set
+	if json.Unmarshal(entry, &s) != nil || s.Base != r.At {
+		return
+	}
+	*r = register{Value: s.Value, At: rec.Offset + 1}
+}
+
+// TestLateReaderAgrees checks that a reader that starts after early records
+// expired reaches the same state as one that read them all, whatever stale
+// checkpoints and racing entries are between.
+func TestLateReaderAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []logsvc.Record
+		add := func(data []byte) {
+			log = append(log, logsvc.Record{Offset: int64(len(log)), Time: time.Unix(int64(len(log)), 0), Data: data})
+		}
+		early := logfold.New(apply)
+		lagging := logfold.New(apply)
+		for range rapid.IntRange(1, 40).Draw(t, "records") {
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				data, err := lagging.Checkpoint()
+				require.NoError(t, err)
+				add(data)
+			case 1:
+				for _, rec := range log {
+					lagging.Take(rec)
+				}
+			default:
+				base := rapid.SampledFrom([]int64{early.State().At, lagging.State().At, 7}).Draw(t, "base")
+				data, err := logfold.EncodeEntry(set{Base: base, Value: len(log)})
+				require.NoError(t, err)
+				add(data)
+			}
+			for _, rec := range log {
+				early.Take(rec)
+			}
+		}
+		oldest := rapid.IntRange(0, len(log)).Draw(t, "oldest")
+		late := logfold.New(apply)
+		late.Truncate(int64(oldest))
+		for _, rec := range log[oldest:] {
+			late.Take(rec)
+		}
+		if late.Known() {
+			require.Equal(t, *early.State(), *late.State())
+		}
+	})
+}
+
+// TestCheckpointMakesStateKnown checks that a reader that missed the start
+// learns the state from a checkpoint.
+func TestCheckpointMakesStateKnown(t *testing.T) {
+	early := logfold.New(apply)
+	data, err := logfold.EncodeEntry(set{Base: 0, Value: 42})
+	require.NoError(t, err)
+	early.Take(logsvc.Record{Offset: 0, Data: data})
+	checkpoint, err := early.Checkpoint()
+	require.NoError(t, err)
+
+	late := logfold.New(apply)
+	late.Truncate(1)
+	require.False(t, late.Known())
+	late.Take(logsvc.Record{Offset: 1, Data: checkpoint})
+	require.True(t, late.Known())
+	require.Equal(t, register{Value: 42, At: 1}, *late.State())
+}
--- /dev/null
+++ b/internal/modules/modules.go
@@ -0,0 +1,11 @@
+// Package modules imports every module, so that it registers itself.
+package modules
+
+import (
+	_ "github.com/marigoldmux/marigoldmux/internal/control/config"
+	_ "github.com/marigoldmux/marigoldmux/internal/control/membership"
+	_ "github.com/marigoldmux/marigoldmux/internal/control/rollout"
+	_ "github.com/marigoldmux/marigoldmux/internal/control/upstreams"
+	_ "github.com/marigoldmux/marigoldmux/internal/entry"
+	_ "github.com/marigoldmux/marigoldmux/internal/peer"
+)
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,108 @@
+// Package peer connects entry hosts with one another: it serves their calls
+// and finds requests that other hosts have.
+package peer
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/labstack/echo/v4"
+
+	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
+	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/dispatch"
+	"github.com/marigoldmux/marigoldmux/internal/kernel"
+	"github.com/marigoldmux/marigoldmux/internal/stream"
+)
+
+const (
+	// maxMessage bounds a message between peers, in bytes.
+	maxMessage = 32 << 20
+	// maxFollowWait bounds one wait of Follow.
+	maxFollowWait = 10 * time.Second
+)
+
+func init() { kernel.Register(&Server{}) }
+
+// Server serves the calls of other entry hosts.
+type Server struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+}
+
+var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
+
+// ModuleInfo implements kernel.Module.
+func (*Server) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "http.peer", New: func() kernel.Module { return new(Server) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (s *Server) Provision(ctx *kernel.Context) (err error) {
+	if s.loop, err = kernel.Lookup[*control.Loop](ctx); err != nil {
+		return err
+	}
+	s.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx)
+	return err
+}
+
+// Routes implements kernel.Router.
+func (s *Server) Routes(e *echo.Echo) {
+	path, handler := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessage))
+	e.POST(strings.TrimSuffix(path, "/")+"/*", echo.WrapHandler(handler))
+}
+
+// Deliver implements peerv1connect.PeerServiceHandler.
+func (s *Server) Deliver(ctx context.Context, req *peerv1.DeliverRequest) (*peerv1.DeliverResponse, error) {
+	for _, message := range req.GetMessages() {
+		heard := control.Heard{From: req.GetFrom(), Incarnation: req.GetIncarnation(), Message: message}
+		if !s.loop.Put(ctx, heard) {
+			return nil, connect.NewError(connect.CodeUnavailable, ctx.Err())
+		}
+	}
+	return &peerv1.DeliverResponse{}, nil
+}
+
+// Follow implements peerv1connect.PeerServiceHandler.
+func (s *Server) Follow(ctx context.Context, req *peerv1.FollowRequest) (*peerv1.FollowResponse, error) {
+	call := s.dispatcher.Find(req.GetId())
+	if call == nil {
+		return &peerv1.FollowResponse{}, nil
+	}
+	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxFollowWait)
+	view := awaitView(ctx, call.Output, int(req.GetOffset()), wait)
+	resp := &peerv1.FollowResponse{Found: true, Moved: view.Moved, Tokens: view.Tokens}
+	if view.Result != nil {
+		resp.Result = view.Result.ToPeer()
+	}
+	return resp, nil
+}
+
+// awaitView returns a view with something new, or what there is after a wait.
+func awaitView(ctx context.Context, buffer *stream.Buffer, offset int, wait time.Duration) stream.View {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		view := buffer.View(offset)
+		if len(view.Tokens) > 0 || view.Result != nil || view.Moved != "" {
+			return view
+		}
+		select {
+		case <-view.Changed:
+		case <-timer.C:
+			return view
+		case <-ctx.Done():
+			return view
+		}
+	}
+}
+
+// Cancel implements peerv1connect.PeerServiceHandler.
+func (s *Server) Cancel(_ context.Context, req *peerv1.CancelRequest) (*peerv1.CancelResponse, error) {
+	return &peerv1.CancelResponse{Found: s.dispatcher.Cancel(req.GetId())}, nil
+}
--- /dev/null
+++ b/internal/platform/weightstore/weightstore.go
@@ -0,0 +1,68 @@
+// Package weightstore reaches the platform's rate-limited store of model weights.
+package weightstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/httpjson"
+)
+
+// ErrUnavailable says that the store did not answer.
+var ErrUnavailable = errors.New("weight store unavailable")
+
+// LimitedError says that the store's rate is used up.
+type LimitedError struct {
+	// RetryAfter is how long to wait before asking again.
+	RetryAfter time.Duration
+}
+
+// Error gives the time to wait.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("weight store limited, retry after %v", e.RetryAfter)
+}
+
+// Load asks for one download of weights by an upstream host.
+type Load struct {
+	HostID string `json:"host"`
+	// Artifact names the model or adapter and its version.
+	Artifact string `json:"artifact"`
+}
+
+// Store hands out downloads of weights.
+type Store interface {
+	// Reserve books a download. Its errors are *LimitedError and ErrUnavailable.
+	Reserve(ctx context.Context, load Load) error
+}
+
+// Client reaches the weight store over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client of the weight store at a base URL.
+func NewClient(base string, client *http.Client) *Client {
+	return &Client{base: base, http: client}
+}
+
+// Reserve implements Store.
+func (c *Client) Reserve(ctx context.Context, load Load) error {
+	err := httpjson.Call(ctx, c.http, http.MethodPost, c.base+"/v1/loads", load, nil)
+	var status *httpjson.StatusError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &status) && status.Code == http.StatusTooManyRequests:
+		seconds, _ := strconv.ParseFloat(status.Header.Get("Retry-After"), 64)
+		return &LimitedError{RetryAfter: time.Duration(seconds * float64(time.Second))}
+	default:
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+}
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,176 @@
+// Package request defines accepted requests and the three ends they can have.
+package request
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
+)
+
+// ErrID says that a text is not a request's ID.
+var ErrID = errors.New("not a request ID")
+
+// idSeparator parts the fields of an ID; names of hosts do not contain it.
+const idSeparator = "."
+
+// ID names a request. It tells which process accepted it.
+type ID struct {
+	Host        string
+	Incarnation string
+	Sequence    uint64
+}
+
+// String formats the ID as "host.incarnation.sequence".
+func (id ID) String() string {
+	return id.Host + idSeparator + id.Incarnation + idSeparator + strconv.FormatUint(id.Sequence, 36)
+}
+
+// ParseID reads an ID. Its error is ErrID.
+func ParseID(text string) (ID, error) {
+	parts := strings.Split(text, idSeparator)
+	if len(parts) != 3 || parts[0] == "" || parts[1] == "" {
+		return ID{}, ErrID
+	}
+	sequence, err := strconv.ParseUint(parts[2], 36, 64)
+	if err != nil {
+		return ID{}, ErrID
+	}
+	return ID{Host: parts[0], Incarnation: parts[1], Sequence: sequence}, nil
+}
+
+// Request is a request that the system accepted.
+type Request struct {
+	ID       string
+	Customer string
+	Service  string
+	Route    string
+	// Key is the idempotency key or the ticket; empty where none is needed.
+	Key string
+	// Prompt and MaxTokens are set for engines, Body for plain services.
+	Prompt    string
+	MaxTokens int
+	Body      []byte
+	Accepted  time.Time
+	Deadline  time.Time
+	// Fingerprint identifies the content, whoever sends it.
+	Fingerprint uint64
+	// Attempts counts the attempts at upstreams so far.
+	Attempts int
+}
+
+// Fingerprint returns the fingerprint of a request's content.
+func Fingerprint(service, route, prompt string, body []byte) uint64 {
+	h := xxhash.New()
+	for _, part := range [...]string{service, route, prompt} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// Outcome is how a request ended.
+type Outcome int
+
+// The outcomes. They are never taken for one another.
+const (
+	// Answer means that the whole answer is at hand.
+	Answer Outcome = iota + 1
+	// NotRun means that it is certain that no upstream ran the request.
+	NotRun
+	// Unknown means that an upstream may have run the request.
+	Unknown
+)
+
+// String names the outcome as on the wire.
+func (o Outcome) String() string {
+	switch o {
+	case Answer:
+		return "answer"
+	case NotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// Result is the end of a request.
+type Result struct {
+	Outcome Outcome
+	// ContentType and Body hold the answer of a plain service.
+	ContentType string
+	Body        []byte
+	// Tokens is the number of tokens of an engine's answer.
+	Tokens int
+	// Reason says why there is no answer.
+	Reason Reason
+}
+
+// Reason says why a request has no answer.
+type Reason string
+
+// The reasons.
+const (
+	ReasonDeadline       Reason = "deadline"
+	ReasonOverload       Reason = "overload"
+	ReasonHeldBack       Reason = "held-back"
+	ReasonNoUpstream     Reason = "no-upstream"
+	ReasonUpstreamFailed Reason = "upstream-failed"
+	ReasonUpstreamLost   Reason = "upstream-lost"
+	ReasonInvalid        Reason = "invalid"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonClaimedBefore  Reason = "claimed-before"
+	ReasonKeyExpired     Reason = "key-expired"
+	ReasonLogDown        Reason = "log-down"
+	ReasonLeaving        Reason = "leaving"
+	ReasonCustomerLimit  Reason = "customer-limit"
+	ReasonNotConfigured  Reason = "not-configured"
+	ReasonHolderGone     Reason = "holder-gone"
+)
+
+// ToPeer turns a result into its peer message.
+func (r Result) ToPeer() *peerv1.Result {
+	return &peerv1.Result{
+		Outcome:     peerv1.Result_Outcome(r.Outcome),
+		ContentType: r.ContentType,
+		Body:        r.Body,
+		Reason:      string(r.Reason),
+		Tokens:      int32(r.Tokens),
+	}
+}
+
+// ResultFromPeer turns a peer message into a result.
+func ResultFromPeer(m *peerv1.Result) Result {
+	return Result{
+		Outcome:     Outcome(m.GetOutcome()),
+		ContentType: m.GetContentType(),
+		Body:        m.GetBody(),
+		Reason:      Reason(m.GetReason()),
+		Tokens:      int(m.GetTokens()),
+	}
+}
+
+// ToPeer turns a request into its peer message.
+func (r *Request) ToPeer() *peerv1.Accepted {
+	return &peerv1.Accepted{
+		Id: r.ID, Customer: r.Customer, Service: r.Service, Route: r.Route, Key: r.Key,
+		Prompt: r.Prompt, MaxTokens: int32(r.MaxTokens), Body: r.Body,
+		AcceptedUnixMs: r.Accepted.UnixMilli(), DeadlineUnixMs: r.Deadline.UnixMilli(),
+		Fingerprint: r.Fingerprint, Attempts: int32(r.Attempts),
+	}
+}
+
+// FromPeer turns a peer message into a request.
+func FromPeer(m *peerv1.Accepted) *Request {
+	return &Request{
+		ID: m.GetId(), Customer: m.GetCustomer(), Service: m.GetService(), Route: m.GetRoute(), Key: m.GetKey(),
+		Prompt: m.GetPrompt(), MaxTokens: int(m.GetMaxTokens()), Body: m.GetBody(),
+		Accepted: time.UnixMilli(m.GetAcceptedUnixMs()), Deadline: time.UnixMilli(m.GetDeadlineUnixMs()),
+		Fingerprint: m.GetFingerprint(), Attempts: int(m.GetAttempts()),
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,130 @@
+// Package settings reads the settings file of one entry host.
+package settings
+
+import (
+	"encoding/json"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldmux/marigoldmux/internal/jsonc"
+)
+
+// ErrInvalid is the root of errors that say the settings are not usable.
+var ErrInvalid = eris.New("settings are not valid")
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Settings is the settings file of an entry host.
+type Settings struct {
+	// Host is the ID of this host in the platform's host list.
+	Host string `json:"host"`
+	// Listen is the IP address and port to listen on.
+	Listen string `json:"listen"`
+	// Address is the IP address and port at which callers and peers reach this
+	// host; empty means Listen.
+	Address string `json:"address,omitempty"`
+	// AvailabilityZone and Region say where this host is.
+	AvailabilityZone string   `json:"availabilityZone"`
+	Region           string   `json:"region"`
+	Platform         Platform `json:"platform"`
+	// LogLevel is the least severe level that is logged; empty means "info".
+	LogLevel string `json:"logLevel,omitempty"`
+	// DrainTimeout bounds a planned stop; 0 means 30 s.
+	DrainTimeout jsonc.Duration `json:"drainTimeout,omitempty"`
+	// SecretFile holds the deployment's shared secret, from which the keys of
+	// tickets and of peer calls are derived.
+	SecretFile string `json:"secretFile,omitempty"`
+	// Modules holds the options of modules by their ID.
+	Modules map[string]json.RawMessage `json:"modules,omitempty"`
+
+	// Secret is the content of SecretFile, or set by the program.
+	Secret []byte `json:"-"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Log      string `json:"log"`
+	HostList string `json:"hostList"`
+	Cloud    string `json:"cloud"`
+	Weights  string `json:"weights"`
+}
+
+// Parse reads and checks settings. Its error is of type jsonc.Faults and names
+// every fault.
+func Parse(src []byte) (*Settings, error) {
+	parsed, err := jsonc.Parse(src)
+	if err != nil {
+		return nil, err
+	}
+	var s Settings
+	if faults := parsed.Decode(&s); len(faults) > 0 {
+		faults.Sort()
+		return nil, faults
+	}
+	if s.Address == "" {
+		s.Address = s.Listen
+	}
+	faults := check(parsed, &s)
+	faults.Sort()
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Load reads a settings file and the secret file it names.
+func Load(path string) (*Settings, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(ErrInvalid, err.Error())
+	}
+	s, err := Parse(src)
+	if err != nil {
+		return nil, err
+	}
+	if s.SecretFile != "" {
+		if s.Secret, err = os.ReadFile(s.SecretFile); err != nil {
+			return nil, eris.Wrap(ErrInvalid, err.Error())
+		}
+	}
+	return s, nil
+}
+
+func check(parsed *jsonc.Document, s *Settings) jsonc.Faults {
+	var faults jsonc.Faults
+	require := func(ok bool, path, format string, args ...any) {
+		if !ok {
+			faults = append(faults, parsed.Fault(path, format, args...))
+		}
+	}
+	require(namePattern.MatchString(s.Host), "/host", "%q is not a name", s.Host)
+	require(namePattern.MatchString(s.AvailabilityZone), "/availabilityZone", "%q is not a name", s.AvailabilityZone)
+	require(namePattern.MatchString(s.Region), "/region", "%q is not a name", s.Region)
+	require(isIPPort(s.Listen), "/listen", "%q is not an IP address and a port", s.Listen)
+	require(isIPPort(s.Address), "/address", "%q is not an IP address and a port", s.Address)
+	require(isURL(s.Platform.Log), "/platform/log", "%q is not an http or https URL", s.Platform.Log)
+	require(isURL(s.Platform.HostList), "/platform/hostList", "%q is not an http or https URL", s.Platform.HostList)
+	require(isURL(s.Platform.Cloud), "/platform/cloud", "%q is not an http or https URL", s.Platform.Cloud)
+	require(isURL(s.Platform.Weights), "/platform/weights", "%q is not an http or https URL", s.Platform.Weights)
+	require(s.DrainTimeout >= 0, "/drainTimeout", "want a duration of at least 0")
+	switch s.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		require(false, "/logLevel", `want "debug", "info", "warn" or "error"`)
+	}
+	return faults
+}
+
+func isIPPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
