--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
@@ -76,6 +77,7 @@
 	app        *kernel.App
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
+	peer       peerv1connect.PeerServiceHandler
 	echo       *echo.Echo
 	server     *http.Server
 	cancel     context.CancelFunc
@@ -126,6 +128,9 @@
 		return err
 	}
 	h.app = app
+	if h.peer, err = kernel.Lookup[peerv1connect.PeerServiceHandler](ctx); err != nil {
+		return err
+	}
 	h.loop.Use(app.Machines())
 	h.echo = echo.New()
 	h.echo.HideBanner = true
@@ -143,6 +148,9 @@
 // Handler returns the host's HTTP interface.
 func (h *Host) Handler() http.Handler { return h.echo }
 
+// Peer returns the service that the host offers to its peers.
+func (h *Host) Peer() peerv1connect.PeerServiceHandler { return h.peer }
+
 // Self returns who the host is.
 func (h *Host) Self() control.Self { return h.self }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,8 +47,11 @@
 	if s.loop, err = kernel.Lookup[*control.Loop](ctx); err != nil {
 		return err
 	}
-	s.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx)
-	return err
+	if s.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx); err != nil {
+		return err
+	}
+	kernel.Provide[peerv1connect.PeerServiceHandler](ctx, s)
+	return nil
 }
 
 // Routes implements kernel.Router.
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,367 @@
+// Package testbed runs several entry hosts with in-process stand-ins and
+// without sockets, so that tests can drive them under testing/synctest.
+package testbed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
+	"github.com/marigoldmux/marigoldmux/internal/control/config"
+	"github.com/marigoldmux/marigoldmux/internal/dial"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/host"
+	"github.com/marigoldmux/marigoldmux/internal/logfold"
+
+	// The hosts under test have all modules.
+	_ "github.com/marigoldmux/marigoldmux/internal/modules"
+	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/settings"
+	"github.com/marigoldmux/marigoldmux/internal/standin"
+	"github.com/marigoldmux/marigoldmux/internal/upstream"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/plain"
+)
+
+// errUnreachable is what a call to a dead or cut-off host ends with.
+var errUnreachable = errors.New("host unreachable")
+
+// Options describe a bed.
+type Options struct {
+	Config []byte
+	Hosts  int
+	Seed   uint64
+	// ListLag is the lag of the host list.
+	ListLag time.Duration
+	// Engine is the template of the engines; slots and traits come from Config.
+	Engine standin.EngineOptions
+	// PlainDelay is the time that a plain service takes for a call.
+	PlainDelay time.Duration
+	// Secret is the deployment's shared secret.
+	Secret []byte
+}
+
+// Bed is a running set of entry hosts and stand-ins.
+type Bed struct {
+	Log     *standin.Log
+	List    *standin.Hosts
+	Cloud   *standin.Cloud
+	Weights *standin.Weights
+	Store   *standin.PlainStore
+	Engines map[string]*standin.Engine
+	Plains  map[string]*standin.Plain
+	Nodes   []*Node
+
+	t        testing.TB
+	opts     Options
+	document *document.Document
+
+	mu   sync.Mutex
+	cuts map[[2]string]bool
+}
+
+// Node is one entry host of a bed.
+type Node struct {
+	*host.Host
+	bed *Bed
+
+	mu      sync.Mutex
+	dead    bool
+	resumed chan struct{}
+}
+
+// Start starts a bed and returns when all hosts have the configuration in
+// force. It must be called inside a synctest bubble; the test must call Close
+// before the bubble ends.
+func Start(t testing.TB, opts Options) *Bed {
+	t.Helper()
+	doc, err := document.Parse(opts.Config)
+	require.NoError(t, err)
+	b := &Bed{
+		Log:     standin.NewLog(opts.Seed),
+		List:    standin.NewHosts(opts.ListLag),
+		Cloud:   standin.NewCloud(nil, nil),
+		Weights: standin.NewWeights(0),
+		Store:   standin.NewPlainStore(),
+		Engines: map[string]*standin.Engine{},
+		Plains:  map[string]*standin.Plain{},
+		t:       t, opts: opts, document: doc,
+		cuts: map[[2]string]bool{},
+	}
+	b.startUpstreams()
+	b.Publish(config.NoBase, opts.Config)
+	for i := range opts.Hosts {
+		b.StartNode(fmt.Sprintf("entry-%d", i), doc.AvailabilityZones[i%len(doc.AvailabilityZones)].Name)
+	}
+	time.Sleep(opts.ListLag + 3*time.Second)
+	for _, n := range b.Nodes {
+		require.NotNil(t, n.Loop().Snapshot().Document, "host has no configuration")
+		require.Len(t, n.Loop().Snapshot().Hosts, opts.Hosts)
+	}
+	return b
+}
+
+// Publish appends a configuration to the log.
+func (b *Bed) Publish(base int64, text []byte) {
+	b.t.Helper()
+	id := fmt.Sprintf("publish-%d-%d", base, time.Now().UnixNano())
+	data, err := logfold.EncodeEntry(config.Put{ID: id, Base: base, Document: string(text)})
+	require.NoError(b.t, err)
+	_, err = b.Log.Append(context.Background(), logsvc.StreamConfig, id, data)
+	require.NoError(b.t, err)
+}
+
+func (b *Bed) startUpstreams() {
+	seed := b.opts.Seed
+	for _, service := range b.document.Services {
+		count := 1
+		if service.Hosts != nil {
+			count = service.Hosts.Min
+		}
+		for i := range count {
+			seed++
+			id := fmt.Sprintf("%s-%d", service.Name, i)
+			zone := b.document.AvailabilityZones[i%len(b.document.AvailabilityZones)].Name
+			b.AddUpstream(id, &service, service.Versions[0].Name, zone, seed)
+		}
+	}
+}
+
+// AddUpstream starts an upstream and lists it. Its address is its ID.
+func (b *Bed) AddUpstream(id string, service *document.Service, version, zone string, seed uint64) {
+	if service.Kind == document.KindEngine {
+		opts := b.opts.Engine
+		opts.Version = version
+		opts.Slots = service.Upstream.MaxInFlight
+		opts.ColdSlots = service.Upstream.ColdInFlight
+		opts.ChecksFencing = service.Upstream.ChecksFencing
+		opts.Seed = seed
+		b.Engines[id] = standin.NewEngine(opts)
+	} else {
+		b.Plains[id] = standin.NewPlain(id, b.Store, b.opts.PlainDelay, seed)
+	}
+	b.List.Put(hostlist.Host{
+		ID: id, Role: hostlist.RoleUpstream, Address: id, Zone: zone,
+		Class: document.Reclaimable, Service: service.Name, Version: version,
+	})
+}
+
+// StartNode starts an entry host, also one of an ID that was killed.
+func (b *Bed) StartNode(id, zone string) *Node {
+	b.t.Helper()
+	n := &Node{bed: b}
+	s := &settings.Settings{
+		Host: id, Listen: id, Address: id, AvailabilityZone: zone,
+		Region: b.document.Zone(zone).Region, Secret: b.opts.Secret,
+	}
+	h, err := host.New(s, host.Dependencies{
+		Platform: host.Platform{Log: &gatedLog{n}, Hosts: b.List, Cloud: b.Cloud, Weights: b.Weights},
+		Dialer:   &dialer{n},
+		Events:   event.Discard(),
+		Seed:     b.opts.Seed,
+	})
+	require.NoError(b.t, err)
+	n.Host = h
+	b.mu.Lock()
+	b.Nodes = append(b.Nodes, n)
+	b.mu.Unlock()
+	require.NoError(b.t, h.StartControl())
+	b.List.Put(hostlist.Host{ID: id, Role: hostlist.RoleEntry, Address: id, Zone: zone, Class: document.Reclaimable})
+	return n
+}
+
+// Close ends all hosts.
+func (b *Bed) Close() {
+	for _, n := range b.Nodes {
+		n.Kill()
+	}
+}
+
+// Cut breaks or mends the link between two entry hosts, both ways.
+func (b *Bed) Cut(from, to string, cut bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cuts[[2]string{from, to}] = cut
+	b.cuts[[2]string{to, from}] = cut
+}
+
+// node returns the living host of an ID that another may reach.
+func (b *Bed) node(from, to string) (*Node, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cuts[[2]string{from, to}] {
+		return nil, errUnreachable
+	}
+	for _, n := range b.Nodes {
+		if n.Self().ID == to && !n.isDead() {
+			return n, nil
+		}
+	}
+	return nil, errUnreachable
+}
+
+// Kill ends the host without notice; its callers, peers and upstreams see
+// broken connections.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	dead := n.dead
+	n.dead = true
+	n.mu.Unlock()
+	if !dead {
+		n.Resume()
+		n.Host.Kill()
+	}
+}
+
+func (n *Node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+// Pause holds all the host's calls of the outside, and those of others to it,
+// until Resume.
+func (n *Node) Pause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.resumed == nil {
+		n.resumed = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (n *Node) Resume() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.resumed != nil {
+		close(n.resumed)
+		n.resumed = nil
+	}
+}
+
+// gate waits while the host is paused. A dead host's calls fail.
+func (n *Node) gate(ctx context.Context) error {
+	n.mu.Lock()
+	resumed, dead := n.resumed, n.dead
+	n.mu.Unlock()
+	if dead {
+		return errUnreachable
+	}
+	if resumed == nil {
+		return nil
+	}
+	select {
+	case <-resumed:
+		return n.gate(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Do sends an HTTP request to the host and returns its whole answer.
+func (n *Node) Do(ctx context.Context, method, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	if n.gate(ctx) == nil {
+		n.Handler().ServeHTTP(recorder, req)
+	}
+	return recorder
+}
+
+// gatedLog is the log service as one host reaches it.
+type gatedLog struct{ n *Node }
+
+func (l *gatedLog) Append(ctx context.Context, stream, id string, data []byte) (int64, error) {
+	if l.n.gate(ctx) != nil {
+		return 0, logsvc.ErrUnavailable
+	}
+	return l.n.bed.Log.Append(ctx, stream, id, data)
+}
+
+func (l *gatedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error) {
+	if l.n.gate(ctx) != nil {
+		return logsvc.Page{}, logsvc.ErrUnavailable
+	}
+	return l.n.bed.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// dialer makes the clients of one host.
+type dialer struct{ n *Node }
+
+var _ dial.Dialer = (*dialer)(nil)
+
+// Engine implements dial.Dialer.
+func (d *dialer) Engine(address string) engine.Engine {
+	return &gatedEngine{Engine: d.n.bed.Engines[address], n: d.n}
+}
+
+// Plain implements dial.Dialer.
+func (d *dialer) Plain(address string) plain.Service {
+	return &gatedPlain{Service: d.n.bed.Plains[address], n: d.n}
+}
+
+// Peer implements dial.Dialer.
+func (d *dialer) Peer(address string) peerv1connect.PeerServiceClient {
+	return &peerClient{n: d.n, to: address}
+}
+
+type gatedEngine struct {
+	engine.Engine
+	n *Node
+}
+
+// Generate implements engine.Engine.
+func (e *gatedEngine) Generate(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+	if err := e.n.gate(ctx); err != nil {
+		return nil, &upstream.Failure{Kind: upstream.NotSent, Err: err}
+	}
+	generation, err := e.Engine.Generate(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return &gatedStream{Stream: generation, n: e.n, ctx: ctx}, nil
+}
+
+type gatedStream struct {
+	engine.Stream
+	n   *Node
+	ctx context.Context
+}
+
+// Next implements engine.Stream.
+func (s *gatedStream) Next() (engine.Chunk, error) {
+	if err := s.n.gate(s.ctx); err != nil {
+		return engine.Chunk{}, &upstream.Failure{Kind: upstream.Lost, Err: err}
+	}
+	return s.Stream.Next()
+}
+
+type gatedPlain struct {
+	plain.Service
+	n *Node
+}
+
+// Call implements plain.Service.
+func (p *gatedPlain) Call(ctx context.Context, call plain.Call) (plain.Answer, error) {
+	if err := p.n.gate(ctx); err != nil {
+		return plain.Answer{}, &upstream.Failure{Kind: upstream.NotSent, Err: err}
+	}
+	answer, err := p.Service.Call(ctx, call)
+	if gateErr := p.n.gate(ctx); gateErr != nil {
+		return plain.Answer{}, &upstream.Failure{Kind: upstream.Lost, Err: gateErr}
+	}
+	return answer, err
+}
