--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/jsonc"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
@@ -42,8 +43,11 @@
 	Base int64 `json:"base"`
 	// Author names who published the document.
 	Author string `json:"author,omitempty"`
-	// Document is the text, JSON with comments.
-	Document string `json:"document"`
+	// Document is the text, JSON with comments; empty where Patch is set.
+	Document string `json:"document,omitempty"`
+	// Patch is a JSON Patch (RFC 6902) of the document at Base. At many hosts
+	// and changes it keeps what every host reads small.
+	Patch json.RawMessage `json:"patch,omitempty"`
 }
 
 // State is the fold of the stream.
@@ -67,11 +71,40 @@
 	if put.Base != current {
 		return
 	}
-	if _, err := document.Parse([]byte(put.Document)); err != nil {
+	text, err := put.text(state)
+	if err != nil {
+		return
+	}
+	if _, err := document.Parse(text); err != nil {
 		return
 	}
 	state.Offset = rec.Offset
-	state.Put = put
+	state.Put = Put{ID: put.ID, Base: put.Base, Author: put.Author, Document: string(text)}
+}
+
+// text returns the whole document that a Put asks for.
+func (p *Put) text(state *State) ([]byte, error) {
+	if len(p.Patch) == 0 {
+		return []byte(p.Document), nil
+	}
+	return jsonc.Patch([]byte(state.Put.Document), p.Patch)
+}
+
+// NewPut returns a Put that replaces one document by another, as a patch where
+// that is shorter. An empty first document gives a whole one.
+func NewPut(id string, base int64, author, from, to string) (Put, error) {
+	put := Put{ID: id, Base: base, Author: author, Document: to}
+	if from == "" {
+		return put, nil
+	}
+	patch, err := jsonc.Diff([]byte(from), []byte(to))
+	if err != nil {
+		return Put{}, err
+	}
+	if len(patch) < len(to) {
+		put.Document, put.Patch = "", patch
+	}
+	return put, nil
 }
 
 func init() { kernel.Register(&Machine{}) }
--- a/internal/logfold/logfold.go
+++ b/internal/logfold/logfold.go
@@ -52,10 +52,9 @@
 	// known is false until the fold saw the stream's start or a checkpoint.
 	known   bool
 	pending []logsvc.Record
-	// lastCheckpoint is the time of the newest checkpoint seen.
+	// lastCheckpoint is the time of the newest checkpoint seen, or of the
+	// first entry where there is none.
 	lastCheckpoint time.Time
-	// folded counts the entries since the newest checkpoint.
-	folded int
 }
 
 // New returns a fold at the start of a stream.
@@ -126,10 +125,11 @@
 	}
 	if e.Checkpoint != nil {
 		f.lastCheckpoint = rec.Time
-		f.folded = 0
 		return
 	}
-	f.folded++
+	if f.lastCheckpoint.IsZero() {
+		f.lastCheckpoint = rec.Time
+	}
 	f.apply(&f.state, rec, e.Entry)
 }
 
@@ -152,8 +152,8 @@
 	f.resume(e.Checkpoint.Through)
 }
 
-// Due reports whether a checkpoint should be appended: the newest is older
-// than an age and entries came after it or it will expire.
+// Due reports whether a checkpoint should be appended because the newest is
+// older than an age.
 func (f *Fold[S]) Due(now time.Time, age time.Duration) bool {
 	return f.known && f.next > 0 && now.Sub(f.lastCheckpoint) >= age
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -180,6 +180,19 @@
 	return n
 }
 
+// Live returns the hosts that were not killed.
+func (b *Bed) Live() []*Node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var live []*Node
+	for _, n := range b.Nodes {
+		if !n.isDead() {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
 // Close ends all hosts.
 func (b *Bed) Close() {
 	for _, n := range b.Nodes {
