Tell what became of each put, and how each request ended

A host that put a document to the log could not tell a lost race from an append that had not been read yet. The fold now keeps the outcome of the newest 64 puts by ID; the first outcome of an ID is final, so an append of unknown outcome may be tried again under its ID. Dispatch reports the end of each request with the first attempt to blame.

--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -56,21 +57,47 @@
 	Offset int64 `json:"offset"`
 	// Put is the entry in force, with an empty document before the first.
 	Put Put `json:"put"`
+	// Recent holds what became of the newest entries, oldest first.
+	Recent []control.PutOutcome `json:"recent,omitempty"`
+}
+
+// recentPuts is the number of entries whose outcome is kept.
+const recentPuts = 64
+
+// judged reports whether the outcome of an ID is known. The first is final.
+func (s *State) judged(id string) bool {
+	for _, known := range s.Recent {
+		if known.ID == id && id != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// record keeps the outcome of an entry. The slice is never changed in place,
+// so that snapshots may share it.
+func (s *State) record(outcome control.PutOutcome) {
+	first := max(0, len(s.Recent)+1-recentPuts)
+	s.Recent = slices.Concat(s.Recent[first:], []control.PutOutcome{outcome})
 }
 
 // Apply folds a Put. An entry that is not valid or has a stale base is ignored.
 func Apply(state *State, rec logsvc.Record, entry json.RawMessage) {
 	var put Put
-	if json.Unmarshal(entry, &put) != nil {
+	if json.Unmarshal(entry, &put) != nil || state.judged(put.ID) {
 		return
 	}
 	current := int64(NoBase)
 	if state.Put.Document != "" {
 		current = state.Offset
 	}
+	outcome := control.PutOutcome{ID: put.ID, Author: put.Author, Offset: rec.Offset, Base: put.Base}
+	defer func() { state.record(outcome) }()
 	if put.Base != current {
+		outcome.Verdict = control.PutStale
 		return
 	}
+	outcome.Verdict = control.PutInvalid
 	text, err := put.text(state)
 	if err != nil {
 		return
@@ -78,6 +105,7 @@
 	if _, err := document.Parse(text); err != nil {
 		return
 	}
+	outcome.Verdict = control.PutAccepted
 	state.Offset = rec.Offset
 	state.Put = Put{ID: put.ID, Base: put.Base, Author: put.Author, Document: string(text)}
 }
@@ -275,6 +303,10 @@
 // Publish implements control.Machine.
 func (m *Machine) Publish(_ time.Time, next *control.Snapshot) {
 	next.Document = m.document
+	next.Text = m.text
 	next.Offset = m.offset
 	next.LogUp = m.logUp
+	if m.fold.Known() {
+		next.Puts = m.fold.State().Recent
+	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -112,6 +112,8 @@
 // AttemptEnded tells of one attempt at an upstream made by this host.
 type AttemptEnded struct {
 	Upstream, Service, Route, Version, Customer string
+	// Zone is the availability zone of the upstream.
+	Zone string
 	// RequestID is the request's ID; Fingerprint identifies its content.
 	RequestID   string
 	Fingerprint uint64
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -15,6 +15,10 @@
 	// its offset in the log.
 	Document *document.Document
 	Offset   int64
+	// Text is the text of Document as its author wrote it.
+	Text string
+	// Puts holds what became of the newest documents put to the log, oldest first.
+	Puts []PutOutcome
 	// LogUp tells whether the last call of the log service succeeded.
 	LogUp bool
 	// Leaving tells that this host is stopping; Deadline is when it must be gone.
@@ -81,6 +85,40 @@
 	Share   float64
 }
 
+// PutVerdict says what became of a document that was put to the log.
+type PutVerdict string
+
+// The verdicts.
+const (
+	// PutAccepted means that the document came in force.
+	PutAccepted PutVerdict = "accepted"
+	// PutStale means that another document had replaced its base.
+	PutStale PutVerdict = "stale"
+	// PutInvalid means that the document has faults.
+	PutInvalid PutVerdict = "invalid"
+)
+
+// PutOutcome is the outcome of one document that was put to the log.
+type PutOutcome struct {
+	// ID is the writer's unique name for the entry.
+	ID     string `json:"id"`
+	Author string `json:"author,omitempty"`
+	// Offset is the entry's offset; Base is the offset that it built on.
+	Offset  int64      `json:"offset"`
+	Base    int64      `json:"base"`
+	Verdict PutVerdict `json:"verdict"`
+}
+
+// Put returns the outcome of the entry of an ID.
+func (s *Snapshot) Put(id string) (PutOutcome, bool) {
+	for _, put := range s.Puts {
+		if put.ID == id {
+			return put, true
+		}
+	}
+	return PutOutcome{}, false
+}
+
 // RolloutPhase says how far a move to a new version is.
 type RolloutPhase string
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,6 +94,9 @@
 	if a.tokens == 0 {
 		a.first = now
 	}
+	if a.call.firstToken == 0 {
+		a.call.firstToken = now.Sub(a.call.Request.Accepted)
+	}
 	a.last = now
 	a.tokens++
 }
@@ -106,7 +109,7 @@
 func (d *Dispatcher) reportAttempt(a *attempt, err error) {
 	now := time.Now()
 	ended := control.AttemptEnded{
-		Upstream: a.upstream.ID, Service: a.call.Request.Service, Route: a.call.Request.Route,
+		Upstream: a.upstream.ID, Zone: a.upstream.Zone, Service: a.call.Request.Service, Route: a.call.Request.Route,
 		Version: a.upstream.Version, Customer: a.call.Request.Customer,
 		RequestID: a.call.Request.ID, Fingerprint: a.call.Request.Fingerprint,
 		Started: a.started, Took: now.Sub(a.started), Tokens: a.tokens, Recomputed: a.recomputed,
@@ -127,6 +130,10 @@
 	if a.call.Request.Attempts > 1 {
 		d.counters.Recomputed.Add(int64(a.recomputed))
 	}
+	a.call.last = &ended
+	if a.call.blamed == nil && (ended.Failure != nil || ended.Late) {
+		a.call.blamed = &ended
+	}
 	d.opts.Report(ended)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,6 +55,8 @@
 	Snapshot func() *control.Snapshot
 	// Report takes what is learnt from attempts; it must not block.
 	Report func(control.Input)
+	// Ended takes the end of each request; nil takes none. It must not block.
+	Ended  func(RequestEnded)
 	Router route.Router
 	Claims claim.Claims
 	Dialer dial.Dialer
@@ -89,6 +91,10 @@
 	service *document.Service
 	route   *document.Route
 	cancel  context.CancelFunc
+	// firstToken is the time from acceptance to the first token; 0 before it.
+	firstToken time.Duration
+	// blamed is the first attempt that failed or was late, last is the newest.
+	blamed, last *control.AttemptEnded
 }
 
 // New returns a dispatcher without requests.
@@ -132,6 +138,7 @@
 	call, err := d.accept(sub)
 	if err != nil {
 		d.counters.Refused.Add(1)
+		d.reportRefusal(sub, err)
 		return nil, err
 	}
 	d.counters.Accepted.Add(1)
@@ -260,6 +267,7 @@
 	default:
 		d.counters.Unknown.Add(1)
 	}
+	d.reportEnd(call, result)
 	d.mu.Lock()
 	d.perCustomer[call.Request.Customer]--
 	d.mu.Unlock()
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http/httptest"
@@ -49,6 +50,8 @@
 	PlainDelay time.Duration
 	// Secret is the deployment's shared secret.
 	Secret []byte
+	// Modules holds the options of modules by their ID.
+	Modules map[string]json.RawMessage
 }
 
 // Bed is a running set of entry hosts and stand-ins.
@@ -162,7 +165,7 @@
 	n := &Node{bed: b}
 	s := &settings.Settings{
 		Host: id, Listen: id, Address: id, AvailabilityZone: zone,
-		Region: b.document.Zone(zone).Region, Secret: b.opts.Secret,
+		Region: b.document.Zone(zone).Region, Secret: b.opts.Secret, Modules: b.opts.Modules,
 	}
 	h, err := host.New(s, host.Dependencies{
 		Platform: host.Platform{Log: &gatedLog{n}, Hosts: b.List, Cloud: b.Cloud, Weights: b.Weights},
