Settle rights to dispatch by the first claim in log order

A repeat of a non-idempotent call at another host ran the call a second time, since each process kept its claims to itself. Claims, releases and results are now records of 32 streams of the log service; a process dispatches only after it read its own claim back as the first. Keys tell their birth time, so that a key whose records expired is refused by age instead of running again. A lease on the key was ruled out: a paused holder may dispatch after it lapsed.

Before: 'dev -smoke' failed at the call that must run once (it ran twice).

--- /dev/null
+++ b/internal/claim/key.go
@@ -0,0 +1,54 @@
+package claim
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The errors of keys.
+var (
+	// ErrNoBirthTime says that a key does not tell when it was made. No host
+	// ever runs such a key.
+	ErrNoBirthTime = errors.New(`the key does not begin with its birth time: want a UUIDv7, or "<unix seconds>.<text>"`)
+	// ErrKeyAge says that a key is too old, or from the future, to be claimed.
+	ErrKeyAge = errors.New("the key is too old or from the future")
+)
+
+const (
+	uuidLength  = 36
+	uuidVersion = '7'
+	// versionAt is the position of the version's digit in a UUID.
+	versionAt = 14
+)
+
+// Born returns the time at which a key was made, which the key itself tells.
+// Its error is ErrNoBirthTime.
+func Born(key string) (time.Time, error) {
+	if len(key) == uuidLength && key[versionAt] == uuidVersion && key[8] == '-' {
+		ms, err := strconv.ParseInt(key[:8]+key[9:13], 16, 64)
+		if err == nil {
+			return time.UnixMilli(ms), nil
+		}
+	}
+	text, _, found := strings.Cut(key, ".")
+	seconds, err := strconv.ParseInt(text, 10, 64)
+	if !found || err != nil || seconds < 0 {
+		return time.Time{}, ErrNoBirthTime
+	}
+	return time.Unix(seconds, 0), nil
+}
+
+// CheckAge reports whether a key may be claimed at a time. Its errors are
+// ErrNoBirthTime and ErrKeyAge.
+func CheckAge(key string, at time.Time) error {
+	born, err := Born(key)
+	if err != nil {
+		return err
+	}
+	if at.After(born.Add(Window)) || born.After(at.Add(Skew)) {
+		return ErrKeyAge
+	}
+	return nil
+}
--- a/internal/dev/smoke.go
+++ b/internal/dev/smoke.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -24,7 +25,6 @@
 	smokePrompt    = "my gauge reads high on the suction side of a cold room what do I check first"
 	smokeTokens    = 24
 	smokeLongTotal = 120
-	smokeKey       = "smoke-key-1"
 )
 
 // Smoke sends one request of each sort through real sockets, prints a line a
@@ -216,7 +216,7 @@
 	}
 	before := len(s.Store.Runs())
 	body := map[string]string{"name": "Ana", "day": "Friday"}
-	header := map[string]string{entry.HeaderIdempotencyKey: smokeKey}
+	header := map[string]string{entry.HeaderIdempotencyKey: fmt.Sprintf("%d.smoke", time.Now().Unix())}
 	var answers [2]string
 	for i := range answers {
 		resp, err := s.post(ctx, i, service, route, body, header)
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -10,17 +10,18 @@
 
 // runOnce runs a call that must not run twice.
 func (d *Dispatcher) runOnce(ctx context.Context, call *Call) request.Result {
-	decision, err := d.opts.Claims.Acquire(ctx, call.Request.Key, call.Request.Fingerprint)
-	if err != nil {
-		return request.Result{Outcome: request.Unknown, Reason: request.ReasonDeadline}
-	}
-	switch decision.Verdict {
-	case claim.Dispatch:
-		return d.dispatchOnce(ctx, call)
-	case claim.Stored, claim.Refused:
-		return decision.Result
-	default:
-		return request.Result{Outcome: request.Unknown, Reason: request.ReasonClaimedBefore}
+	for {
+		decision, err := d.opts.Claims.Acquire(ctx, call.Request.Key, call.Request.Fingerprint)
+		switch {
+		case err != nil:
+			return request.Result{Outcome: request.Unknown, Reason: request.ReasonDeadline}
+		case decision.Verdict == claim.Dispatch:
+			return d.dispatchOnce(ctx, call)
+		case decision.Verdict != claim.Elsewhere:
+			return decision.Result
+		case !d.opts.Claims.Await(ctx, call.Request.Key):
+			return request.Result{Outcome: request.Unknown, Reason: request.ReasonClaimedBefore}
+		}
 	}
 }
 
@@ -31,25 +32,25 @@
 	for {
 		lease, end := d.acquire(ctx, call, failed)
 		if end != nil {
-			d.opts.Claims.Release(context.WithoutCancel(ctx), call.Request.Key)
+			d.opts.Claims.Release(call.Request.Key)
 			end.Outcome = request.NotRun
 			return *end
 		}
 		answer, err := d.callPlain(ctx, call, lease)
 		if err == nil {
-			return d.complete(ctx, call, plainResult(answer))
+			return d.complete(call, plainResult(answer))
 		}
 		switch kind := upstream.KindOf(err); kind {
 		case upstream.NotSent, upstream.Refused:
 			failed[lease.Upstream.ID] = true
 			d.counters.Retried.Add(1)
 		default:
-			return d.complete(ctx, call, request.Result{Outcome: request.Unknown, Reason: request.ReasonUpstreamLost})
+			return d.complete(call, request.Result{Outcome: request.Unknown, Reason: request.ReasonUpstreamLost})
 		}
 	}
 }
 
-func (d *Dispatcher) complete(ctx context.Context, call *Call, result request.Result) request.Result {
-	d.opts.Claims.Complete(context.WithoutCancel(ctx), call.Request.Key, result)
+func (d *Dispatcher) complete(call *Call, result request.Result) request.Result {
+	d.opts.Claims.Complete(call.Request.Key, result)
 	return result
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -77,6 +77,7 @@
 	app        *kernel.App
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
+	claims     *claim.Store
 	peer       peerv1connect.PeerServiceHandler
 	echo       *echo.Echo
 	server     *http.Server
@@ -99,12 +100,13 @@
 	}
 	h := &Host{settings: s, self: self, deps: deps, loop: control.NewLoop(self)}
 	h.deps.Events = deps.Events.With(zap.String("host", self.ID))
+	h.claims = claim.NewStore(self, h.loop.Snapshot, deps.Platform.Log)
 	h.dispatcher = dispatch.New(dispatch.Options{
 		Self:     self,
 		Snapshot: h.loop.Snapshot,
 		Report:   h.loop.Offer,
 		Router:   route.NewLeastLoaded(h.loop.Snapshot, deps.Seed),
-		Claims:   claim.NewLocal(),
+		Claims:   h.claims,
 		Dialer:   deps.Dialer,
 		Events:   h.deps.Events,
 	})
@@ -163,6 +165,7 @@
 	for _, stream := range h.loop.Streams() {
 		h.goes(func() { io.readStream(stream) })
 	}
+	h.goes(func() { h.claims.Run(ctx) })
 	h.goes(io.pollHosts)
 	h.goes(io.pollNotices)
 	if err := h.app.Start(ctx); err != nil {
