Route by fair shares, deadlines and prefixes from a pure core

LeastLoaded let each waiter poll every 50 ms, knew no customers and no classes, and woke all waiters on each release. Core now decides (start-time fair queueing by cost, earliest deadline first, room kept for urgent classes, early refusal, load corrected for its lag, prefix affinity) and Balancer wraps it for goroutines. LeastLoaded stays as a baseline.

Engines and dispatch named prefixes by two different hashes, so that cache events could never match a request; both use package prefix now.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -130,7 +130,8 @@
 
 // Demand tells how many requests for a service wait or run at this host.
 type Demand struct {
-	Service           string
+	Service string
+	// Waiting counts by version, InFlight by the upstream's ID.
 	Waiting, InFlight map[string]int
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -61,19 +61,36 @@
 	// Open tells that the upstream may get new work: its zone is in, it is not
 	// leaving and it is believed to be alive.
 	Open bool
-	// Limit is the number of requests that this host may have in flight there.
-	Limit int
+	// Limit is the number of requests that this host may have in flight there
+	// until LimitUntil; after it the number is Floor. A zero LimitUntil sets no
+	// end.
+	Limit      int
+	LimitUntil time.Time
+	Floor      int
+	// Capacity is the number of requests that the upstream is believed to bear
+	// from all entry hosts together.
+	Capacity int
 	// Cold tells that the upstream is in cold start.
 	Cold bool
 	// Load estimates the share of the upstream's slots in use over all entry
-	// hosts, from 0.
-	Load float64
+	// hosts, from 0. LoadSeen changes with each new report.
+	Load     float64
+	LoadSeen uint64
 	// Price is the price of the host for an hour.
 	Price float64
 	// Prefixes holds the hashes of prompt prefixes in its cache; nil if unknown.
 	Prefixes map[uint64]struct{}
 }
 
+// LimitAt returns the number of requests that this host may have in flight at
+// the upstream at a time.
+func (u *Upstream) LimitAt(now time.Time) int {
+	if u.LimitUntil.IsZero() || now.Before(u.LimitUntil) {
+		return u.Limit
+	}
+	return u.Floor
+}
+
 // RouteKey names a route of a service.
 type RouteKey struct {
 	Service, Route string
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -5,21 +5,15 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/prefix"
 	"github.com/marigoldmux/marigoldmux/internal/request"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 )
 
-const (
-	// maxAttempts bounds the attempts at one request.
-	maxAttempts = 6
-	// prefixBytes is the length of the prompt prefix by which requests are
-	// brought together.
-	prefixBytes = 256
-)
+// maxAttempts bounds the attempts at one request.
+const maxAttempts = 6
 
 func (d *Dispatcher) query(call *Call, exclude map[string]bool) route.Query {
 	q := route.Query{
@@ -27,9 +21,7 @@
 		Class: call.route.Class, Deadline: call.Request.Deadline,
 		Cost: call.Request.MaxTokens, Exclude: exclude,
 	}
-	if prompt := call.Request.Prompt; prompt != "" {
-		q.Prefix = xxhash.Sum64String(prompt[:min(prefixBytes, len(prompt))])
-	}
+	q.Prefix = prefix.Hash(call.Request.Prompt)
 	return q
 }
 
@@ -40,9 +32,12 @@
 		return nil, d.giveUp(call, request.ReasonHeldBack)
 	}
 	lease, err := d.opts.Router.Acquire(ctx, d.query(call, failed))
+	var overload *route.OverloadError
 	switch {
 	case err == nil:
 		return lease, nil
+	case errors.As(err, &overload):
+		return nil, d.giveUp(call, request.ReasonOverload)
 	case errors.Is(err, route.ErrDeadline), errors.Is(err, context.DeadlineExceeded):
 		return nil, d.giveUp(call, request.ReasonDeadline)
 	default:
--- /dev/null
+++ b/internal/fairqueue/fairqueue.go
@@ -0,0 +1,269 @@
+// Package fairqueue orders waiting requests. Customers get shares of the
+// service by start-time fair queueing over the cost of their requests; the
+// requests of one customer are served by deadline. It does no I/O and reads no
+// clock.
+package fairqueue
+
+import (
+	"container/heap"
+	"time"
+)
+
+// minShare stands in for shares that are zero or negative.
+const minShare = 0.01
+
+// Item is one waiting request.
+type Item struct {
+	ID       uint64
+	Customer string
+	// Share is the customer's weight.
+	Share float64
+	// Cost is the work of the request, in tokens.
+	Cost float64
+	// Target is the time until which a start is on time; after it the request
+	// comes behind those of its customer that can still be on time.
+	Target time.Time
+	// Deadline is the latest useful start.
+	Deadline time.Time
+
+	late  bool
+	index int
+}
+
+// Queue holds the waiting requests of one class. The zero value is not ready;
+// use New.
+type Queue struct {
+	customers map[string]*customer
+	// waiting lists the customers with waiting requests.
+	waiting []*customer
+	virtual float64
+	length  int
+	cost    float64
+}
+
+type customer struct {
+	name   string
+	share  float64
+	finish float64
+	cost   float64
+	fresh  byDeadline
+	late   byDeadline
+	// position is the customer's place in Queue.waiting, -1 when it has none.
+	position int
+}
+
+// New returns an empty queue.
+func New() *Queue { return &Queue{customers: map[string]*customer{}} }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.length }
+
+// Cost returns the cost of all waiting requests, in tokens.
+func (q *Queue) Cost() float64 { return q.cost }
+
+// Push adds a request.
+func (q *Queue) Push(it *Item) {
+	c := q.customer(it.Customer)
+	c.share = max(it.Share, minShare)
+	it.late = false
+	heap.Push(&c.fresh, it)
+	c.cost += it.Cost
+	q.cost += it.Cost
+	q.length++
+	if c.position < 0 {
+		c.position = len(q.waiting)
+		q.waiting = append(q.waiting, c)
+	}
+}
+
+func (q *Queue) customer(name string) *customer {
+	c := q.customers[name]
+	if c == nil {
+		c = &customer{name: name, position: -1}
+		q.customers[name] = c
+	}
+	return c
+}
+
+// Remove takes a waiting request out without serving it.
+func (q *Queue) Remove(it *Item) {
+	c := q.customers[it.Customer]
+	if it.late {
+		heap.Remove(&c.late, it.index)
+	} else {
+		heap.Remove(&c.fresh, it.index)
+	}
+	c.cost -= it.Cost
+	q.cost -= it.Cost
+	q.length--
+	if len(c.fresh)+len(c.late) == 0 {
+		q.retire(c)
+	}
+}
+
+// retire takes a customer without requests off the waiting list. Its finish
+// tag stays while it lies ahead of the virtual time.
+func (q *Queue) retire(c *customer) {
+	last := q.waiting[len(q.waiting)-1]
+	q.waiting[c.position] = last
+	last.position = c.position
+	q.waiting = q.waiting[:len(q.waiting)-1]
+	c.position = -1
+	c.cost = 0
+	if c.finish <= q.virtual {
+		delete(q.customers, c.name)
+	}
+	if q.length == 0 {
+		q.cost = 0
+		q.forget()
+	}
+}
+
+// forget drops customers whose finish tags no longer matter.
+func (q *Queue) forget() {
+	for name, c := range q.customers {
+		if c.position < 0 && c.finish <= q.virtual {
+			delete(q.customers, name)
+		}
+	}
+}
+
+// Serve takes out the first request, in the order of shares and deadlines,
+// that a test accepts, and charges its customer. It returns nil when the test
+// accepts none of the requests that come first for their customers.
+func (q *Queue) Serve(now time.Time, accept func(*Item) bool) *Item {
+	refused := map[*customer]bool(nil)
+	for {
+		c := q.first(refused)
+		if c == nil {
+			return nil
+		}
+		if it := c.pick(now, accept); it != nil {
+			q.charge(c, it)
+			return it
+		}
+		if refused == nil {
+			refused = map[*customer]bool{}
+		}
+		refused[c] = true
+	}
+}
+
+// first returns the waiting customer with the smallest start tag.
+func (q *Queue) first(refused map[*customer]bool) *customer {
+	var best *customer
+	for _, c := range q.waiting {
+		if refused[c] {
+			continue
+		}
+		if best == nil || q.before(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (q *Queue) before(a, b *customer) bool {
+	startA, startB := max(q.virtual, a.finish), max(q.virtual, b.finish)
+	if startA != startB {
+		return startA < startB
+	}
+	return a.name < b.name
+}
+
+func (q *Queue) charge(c *customer, it *Item) {
+	start := max(q.virtual, c.finish)
+	q.virtual = start
+	c.finish = start + it.Cost/c.share
+	q.Remove(it)
+}
+
+// scanDepth is the number of requests of one customer that are looked at in
+// search of one that is accepted.
+const scanDepth = 4
+
+// pick returns the first accepted request: by deadline, and those that can
+// still start on time before the others.
+func (c *customer) pick(now time.Time, accept func(*Item) bool) *Item {
+	for len(c.fresh) > 0 && !now.Before(c.fresh[0].Target) {
+		it := heap.Pop(&c.fresh).(*Item)
+		it.late = true
+		heap.Push(&c.late, it)
+	}
+	for _, list := range [...]byDeadline{c.fresh, c.late} {
+		for i := range min(scanDepth, len(list)) {
+			if accept(list[i]) {
+				return list[i]
+			}
+		}
+	}
+	return nil
+}
+
+// Ahead returns the cost that is served before a new request of a customer,
+// in tokens: its own waiting cost and, of each other customer, what the shares
+// give to that customer meanwhile.
+func (q *Queue) Ahead(name string, share float64) float64 {
+	share = max(share, minShare)
+	own := 0.0
+	lead := 0.0
+	if c := q.customers[name]; c != nil {
+		own = c.cost
+		lead = max(0, c.finish-q.virtual) * share
+	}
+	total := own
+	for _, c := range q.waiting {
+		if c.name != name {
+			total += min(c.cost, (own+lead)*c.share/share)
+		}
+	}
+	return total
+}
+
+// Expired takes out and returns the requests whose deadline has passed.
+func (q *Queue) Expired(now time.Time) []*Item {
+	var expired []*Item
+	for _, c := range append([]*customer(nil), q.waiting...) {
+		for _, list := range [...]*byDeadline{&c.fresh, &c.late} {
+			for len(*list) > 0 && !now.Before((*list)[0].Deadline) {
+				it := (*list)[0]
+				q.Remove(it)
+				expired = append(expired, it)
+			}
+		}
+	}
+	return expired
+}
+
+// byDeadline is a heap of requests, the earliest deadline first.
+type byDeadline []*Item
+
+func (h byDeadline) Len() int { return len(h) }
+
+func (h byDeadline) Less(i, j int) bool {
+	if !h[i].Deadline.Equal(h[j].Deadline) {
+		return h[i].Deadline.Before(h[j].Deadline)
+	}
+	return h[i].ID < h[j].ID
+}
+
+func (h byDeadline) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *byDeadline) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *byDeadline) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -105,7 +105,7 @@
 		Self:     self,
 		Snapshot: h.loop.Snapshot,
 		Report:   h.loop.Offer,
-		Router:   route.NewLeastLoaded(h.loop.Snapshot, deps.Seed),
+		Router:   route.NewBalancer(h.loop.Snapshot, h.loop.Offer, deps.Seed),
 		Claims:   h.claims,
 		Dialer:   deps.Dialer,
 		Events:   h.deps.Events,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,7 +46,7 @@
 // Router assigns requests to upstreams.
 type Router interface {
 	// Acquire waits for an upstream that may take the request. Its errors are
-	// ErrDeadline and the context's.
+	// ErrDeadline, *OverloadError and the context's.
 	Acquire(ctx context.Context, q Query) (*Lease, error)
 }
 
@@ -105,7 +105,7 @@
 	}
 	var best *control.Upstream
 	for _, u := range snapshot.Upstreams[q.Service] {
-		if !u.Open || u.Version != version || q.Exclude[u.ID] || r.inFlight[u.ID] >= u.Limit {
+		if !u.Open || u.Version != version || q.Exclude[u.ID] || r.inFlight[u.ID] >= u.LimitAt(time.Now()) {
 			continue
 		}
 		if best == nil || r.use(u) < r.use(best) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldmux/marigoldmux/internal/prefix"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
 )
@@ -19,7 +20,7 @@
 const CrashMarker = "crash-the-engine"
 
 // prefixTokens is the length of the prompt prefix that the cache keeps, in tokens.
-const prefixTokens = 8
+const prefixTokens = prefix.Words
 
 var (
 	errKilled     = errors.New("engine died")
@@ -283,25 +284,17 @@
 	if req.KV != "" && e.exported[req.KV] {
 		return 0
 	}
-	prefix := PrefixHash(req.Prompt)
-	if e.cache[prefix] {
+	hash := prefix.Hash(req.Prompt)
+	if e.cache[hash] {
 		return tokens - min(prefixTokens, len(words))
 	}
-	e.cache[prefix] = true
+	e.cache[hash] = true
 	e.events = append(e.events, engine.CacheEvent{
-		Sequence: int64(len(e.events) + 1), Prefix: prefix, Tokens: min(prefixTokens, len(words)),
+		Sequence: int64(len(e.events) + 1), Prefix: hash, Tokens: min(prefixTokens, len(words)),
 	})
 	return tokens
 }
 
-// PrefixHash returns the hash of a prompt's prefix that cache events carry.
-func PrefixHash(prompt string) uint64 {
-	words := strings.Fields(prompt)
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(strings.Join(words[:min(prefixTokens, len(words))], " ")))
-	return h.Sum64()
-}
-
 func (e *Engine) activeFault() EngineFault {
 	if len(e.running) < e.fault.MinRunning {
 		return EngineFault{}
