--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -126,6 +126,8 @@
 	Failure *upstream.Failure
 	// Late tells that the attempt missed the route's latency targets.
 	Late bool
+	// Cold tells that the upstream was in cold start when the attempt began.
+	Cold bool
 }
 
 // Demand tells how many requests for a service wait or run at this host.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -108,6 +108,7 @@
 		Version: a.upstream.Version, Customer: a.call.Request.Customer,
 		RequestID: a.call.Request.ID, Fingerprint: a.call.Request.Fingerprint,
 		Started: a.started, Took: now.Sub(a.started), Tokens: a.tokens, Recomputed: a.recomputed,
+		Cold: a.upstream.Cold,
 	}
 	if a.tokens > 0 {
 		ended.FirstToken = a.first.Sub(a.started)
