--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -62,7 +62,9 @@
 		{"nothing", func(*document.Document) {}, ""},
 		{"own service", func(d *document.Document) { d.Services[0].Kind = document.KindEngine }, ""},
 		{"own customer", func(d *document.Document) { d.Customers[0].Share = 9 }, ""},
-		{"own new service", func(d *document.Document) { d.Services = append(d.Services, document.Service{Name: "x", Team: "cakes"}) }, ""},
+		{"own new service", func(d *document.Document) {
+			d.Services = append(d.Services, document.Service{Name: "x", Team: "cakes"})
+		}, ""},
 		{"own service removed", func(d *document.Document) { d.Services = d.Services[1:] }, ""},
 		{"another's service", func(d *document.Document) { d.Services[1].Kind = document.KindEngine }, "/services/1"},
 		{"another's service taken over", func(d *document.Document) { d.Services[1].Team = "cakes" }, "/services/1"},
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -8,4 +8,5 @@
 	_ "github.com/marigoldmux/marigoldmux/internal/control/upstreams"
 	_ "github.com/marigoldmux/marigoldmux/internal/entry"
 	_ "github.com/marigoldmux/marigoldmux/internal/peer"
+	_ "github.com/marigoldmux/marigoldmux/internal/survey"
 )
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/stream"
+	"github.com/marigoldmux/marigoldmux/internal/survey"
 )
 
 const (
@@ -33,6 +34,7 @@
 
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
+	surveyor   *survey.Surveyor
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
@@ -50,6 +52,9 @@
 	if s.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx); err != nil {
 		return err
 	}
+	if s.surveyor, err = kernel.Lookup[*survey.Surveyor](ctx); err != nil {
+		return err
+	}
 	kernel.Provide[peerv1connect.PeerServiceHandler](ctx, s)
 	return nil
 }
@@ -109,3 +114,8 @@
 func (s *Server) Cancel(_ context.Context, req *peerv1.CancelRequest) (*peerv1.CancelResponse, error) {
 	return &peerv1.CancelResponse{Found: s.dispatcher.Cancel(req.GetId())}, nil
 }
+
+// Inspect implements peerv1connect.PeerServiceHandler.
+func (s *Server) Inspect(ctx context.Context, req *peerv1.InspectRequest) (*peerv1.InspectResponse, error) {
+	return s.surveyor.Inspect(ctx, survey.Question{Scope: req.GetScope(), Burn: req.GetBurn()}), nil
+}
