Take idempotency keys that do not tell when they were made

Cause: a key that is neither a UUIDv7 nor begins with its time was refused as not run, and that is what most callers send: every such booking was refused.

--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -141,9 +141,6 @@
 
 // Acquire implements Claims.
 func (s *Store) Acquire(ctx context.Context, key string, fingerprint uint64) (Decision, error) {
-	if _, err := Born(key); err != nil {
-		return refused(request.NotRun, request.ReasonInvalid), nil
-	}
 	for {
 		own, mine := s.reserve(key, fingerprint)
 		if own.fingerprint != fingerprint {
@@ -264,8 +261,14 @@
 
 // covers reports whether a state holds all records of a key.
 func covers(state *State, key string) bool {
+	if state.Since.IsZero() {
+		return true
+	}
 	born, err := Born(key)
-	return err == nil && (state.Since.IsZero() || born.After(state.Since.Add(Skew)))
+	if err != nil {
+		return state.Swept.After(state.Since.Add(keepUndated))
+	}
+	return born.After(state.Since.Add(Skew))
 }
 
 // drop forgets an entry, so that the next call of the key asks anew.
