--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -20,6 +20,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/host"
 	"github.com/marigoldmux/marigoldmux/internal/httpjson"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
+
 	// The hosts of a system have all modules.
 	_ "github.com/marigoldmux/marigoldmux/internal/modules"
 	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
