--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -66,14 +66,9 @@
 func (p *Publisher) Put(ctx context.Context, base int64, author, text string) Result {
 	result := Result{ID: newID()}
 	snapshot := p.Snapshot()
-	if snapshot.Offset > base {
+	if snapshot.Offset != base {
 		result.Status = LostRace
-		result.Detail = "another document is in force already"
-		return result
-	}
-	if snapshot.Offset < base {
-		result.Status = NotAccepted
-		result.Detail = "this host has not read the base of the change yet"
+		result.Detail = "another document came first; nothing was accepted"
 		return result
 	}
 	data, err := encode(result.ID, base, author, snapshot.Text, text)
@@ -158,10 +153,10 @@
 		result.Offset = outcome.Offset
 	case control.PutStale:
 		result.Status = LostRace
-		result.Detail = "another document came first"
+		result.Detail = "another document came first; nothing was accepted"
 	default:
 		result.Status = NotAccepted
-		result.Detail = "the document is not valid"
+		result.Detail = "the document is not valid; nothing was accepted"
 	}
 }
 
