Hand out tickets and keep results beyond the life of their host

With the log service out no booking could run, since each right to dispatch came from it. GET /v1/hosts now hands out a ticket: an authenticated key that names the host and process that alone may ever dispatch it, with no record before the dispatch. Results go to the log service and, at once, to two peers in other zones. A call with a caller's key goes to the host at which the claims of its shard meet, where they share appends; rights still come from the log. A planned stop records that the keys without a result never ran; while the log service is out, peers are told. A refusal of a call whose key may have run before says 'unknown', not 'not run'.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -40,10 +40,16 @@
 	// for a key that this process holds waits for its result. Its error is the
 	// context's.
 	Acquire(ctx context.Context, key string, fingerprint uint64) (Decision, error)
-	// Await waits until a key that another process holds has a result or is
-	// free, and reports whether that came before the context's end.
-	Await(ctx context.Context, key string) bool
-	// Complete records the result of a dispatched call.
+	// Await looks for the result of a key that another process holds, at that
+	// process, at the hosts that keep copies and in the log service. It returns
+	// nil after a short wait without one.
+	Await(ctx context.Context, key string, holder Holder) *request.Result
+	// Unused reports whether it is certain that no call of a key was dispatched.
+	Unused(key string) bool
+	// Home names the host at which the claims of a key meet; it may be this one.
+	Home(key string) string
+	// Complete records the result of a dispatched call. It may take a moment,
+	// for copies that outlive this process.
 	Complete(key string, result request.Result)
 	// Release gives the right up; the call was certainly not dispatched.
 	Release(key string)
--- a/internal/claim/key.go
+++ b/internal/claim/key.go
@@ -5,13 +5,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/ticket"
 )
 
 // The errors of keys.
 var (
-	// ErrNoBirthTime says that a key does not tell when it was made: it is
-	// neither a UUIDv7 nor of the form "<unix seconds>.<text>".
-	ErrNoBirthTime = errors.New("the key does not tell when it was made")
+	// ErrNoBirthTime says that a key does not tell when it was made. No host
+	// ever runs such a key.
+	ErrNoBirthTime = errors.New(`the key does not begin with its birth time: want a UUIDv7, or "<unix seconds>.<text>"`)
 	// ErrKeyAge says that a key is too old, or from the future, to be claimed.
 	ErrKeyAge = errors.New("the key is too old or from the future")
 )
@@ -23,9 +25,29 @@
 	versionAt = 14
 )
 
+// scopeSeparator parts a key from its customer; names of customers do not
+// contain it.
+const scopeSeparator = "@"
+
+// Scoped returns a key as it is claimed: keys of different customers are
+// different keys.
+func Scoped(key, customer string) string { return key + scopeSeparator + customer }
+
+func unscoped(key string) string {
+	if at := strings.LastIndex(key, scopeSeparator); at >= 0 {
+		return key[:at]
+	}
+	return key
+}
+
+func isTicket(key string) bool { return ticket.Is(key) }
+
+func ticketIn(key string) (ticket.Ticket, error) { return ticket.Parse(unscoped(key)) }
+
 // Born returns the time at which a key was made, which the key itself tells.
 // Its error is ErrNoBirthTime.
 func Born(key string) (time.Time, error) {
+	key = unscoped(key)
 	if len(key) == uuidLength && key[versionAt] == uuidVersion && key[8] == '-' {
 		ms, err := strconv.ParseInt(key[:8]+key[9:13], 16, 64)
 		if err == nil {
@@ -40,12 +62,12 @@
 	return time.Unix(seconds, 0), nil
 }
 
-// CheckAge reports whether a key may be claimed at a time. A key without a
-// birth time may be claimed at any. Its error is ErrKeyAge.
+// CheckAge reports whether a key may be claimed at a time. Its errors are
+// ErrNoBirthTime and ErrKeyAge.
 func CheckAge(key string, at time.Time) error {
 	born, err := Born(key)
 	if err != nil {
-		return nil //nolint:nilerr // such keys have no age
+		return err
 	}
 	if at.After(born.Add(Window)) || born.After(at.Add(Skew)) {
 		return ErrKeyAge
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
 	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/ticket"
 )
 
 const (
@@ -21,6 +21,10 @@
 	Shards = 32
 	// claimWait bounds the wait for the log service.
 	claimWait = 3 * time.Second
+	// lookWait bounds the wait for a shard that was not read before.
+	lookWait = 500 * time.Millisecond
+	// awaitInterval is the least time between two questions to other hosts.
+	awaitInterval = 100 * time.Millisecond
 )
 
 // Store keeps claims in the log service.
@@ -28,13 +32,27 @@
 	self     control.Self
 	snapshot func() *control.Snapshot
 	log      logsvc.Log
+	peers    Peers
+	tickets  *ticket.Issuer
 	sequence atomic.Uint64
+	copies   copies
 	// wake tells Run that a shard needs a goroutine.
 	wake chan struct{}
 
 	mu     sync.Mutex
 	shards map[int]*shard
 	own    map[string]*ownEntry
+	// retired tells that this process gets no further rights.
+	retired bool
+}
+
+// Options are what a Store works with.
+type Options struct {
+	Self     control.Self
+	Snapshot func() *control.Snapshot
+	Log      logsvc.Log
+	Peers    Peers
+	Tickets  *ticket.Issuer
 }
 
 // ownEntry is a key that this process claims or has claimed.
@@ -42,6 +60,8 @@
 	fingerprint uint64
 	holder      Holder
 	made        time.Time
+	// granted tells that the call may have been dispatched.
+	granted bool
 	// done is closed when the key has a result or this process gave it up.
 	done   chan struct{}
 	result *request.Result
@@ -51,10 +71,11 @@
 
 // NewStore returns claims over a log service. Nothing is read or written
 // before Run.
-func NewStore(self control.Self, snapshot func() *control.Snapshot, log logsvc.Log) *Store {
+func NewStore(opts Options) *Store {
 	return &Store{
-		self: self, snapshot: snapshot, log: log, wake: make(chan struct{}, 1),
-		shards: map[int]*shard{}, own: map[string]*ownEntry{},
+		self: opts.Self, snapshot: opts.Snapshot, log: opts.Log, peers: opts.Peers, tickets: opts.Tickets,
+		wake: make(chan struct{}, 1), shards: map[int]*shard{}, own: map[string]*ownEntry{},
+		copies: copies{ended: map[string]kept{}, retired: map[string]time.Time{}},
 	}
 }
 
@@ -103,6 +124,7 @@
 }
 
 func (s *Store) forgetOld(now time.Time) {
+	s.copies.forgetOld(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, own := range s.own {
@@ -118,7 +140,7 @@
 
 // shardOf returns the shard of a key, which is read from now on.
 func (s *Store) shardOf(key string) *shard {
-	sh := s.shardAt(int(xxhash.Sum64String(key)%Shards), true)
+	sh := s.shardAt(shardIndex(key), true)
 	sh.mu.Lock()
 	sh.lastUsed = time.Now()
 	sh.mu.Unlock()
@@ -126,6 +148,12 @@
 	return sh
 }
 
+// shardIndex returns the index of a key's shard. The tickets of one process
+// share a shard, so that one record tells of the end of them all.
+func shardIndex(key string) int { return shardIndexOf(place(key)) }
+
+func shardIndexOf(place string) int { return int(xxhash.Sum64String(place) % Shards) }
+
 // shardAt returns the shard of an index; where it is not known and create is
 // not set, it returns nil.
 func (s *Store) shardAt(index int, create bool) *shard {
@@ -141,11 +169,18 @@
 
 // Acquire implements Claims.
 func (s *Store) Acquire(ctx context.Context, key string, fingerprint uint64) (Decision, error) {
+	withTicket := isTicket(key)
+	if _, err := Born(key); err != nil && !withTicket {
+		return refused(request.NotRun, request.ReasonInvalid), nil
+	}
 	for {
 		own, mine := s.reserve(key, fingerprint)
 		if own.fingerprint != fingerprint {
 			return refused(request.NotRun, request.ReasonClaimedBefore), nil
 		}
+		if mine && withTicket {
+			return s.settleTicket(key, own, time.Now()), nil
+		}
 		if mine {
 			return s.settle(ctx, key, own), nil
 		}
@@ -189,12 +224,38 @@
 	if !known {
 		decision = s.claim(ctx, sh, key, own)
 	}
+	if decision.Verdict == Refused && decision.Result.Outcome == request.Unknown {
+		decision = s.copyOr(ctx, key, own, decision)
+	}
 	if decision.Verdict != Dispatch {
 		s.drop(key, own)
 	}
 	return decision
 }
 
+// copyOr returns the result of a key of which a peer keeps a copy, or else
+// the given decision.
+func (s *Store) copyOr(ctx context.Context, key string, own *ownEntry, decision Decision) Decision {
+	ended := s.ask(context.WithoutCancel(ctx), key, Holder{})
+	switch {
+	case ended == nil:
+		return decision
+	case ended.Fingerprint != own.fingerprint:
+		return refused(request.NotRun, request.ReasonClaimedBefore)
+	default:
+		return Decision{Verdict: Stored, Result: ended.Result}
+	}
+}
+
+// grant gives this process's entry the right to be dispatched, unless the
+// process has retired.
+func (s *Store) grant(own *ownEntry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own.granted = !s.retired
+	return own.granted
+}
+
 // claim appends a claim and reads it back.
 func (s *Store) claim(ctx context.Context, sh *shard, key string, own *ownEntry) Decision {
 	q := sh.enqueue(Op{Acquire: &AcquireOp{Key: key, Fingerprint: own.fingerprint, Holder: own.holder}})
@@ -202,6 +263,9 @@
 	err := s.readBack(ctx, sh, q)
 	if err == nil {
 		if decision, known := s.look(sh, key, own); known {
+			if decision.Verdict == Dispatch && !s.grant(own) {
+				decision = refused(request.Unknown, request.ReasonLeaving)
+			}
 			if decision.Verdict == Refused {
 				s.giveUp(sh, key, own, q)
 			}
@@ -265,10 +329,10 @@
 		return true
 	}
 	born, err := Born(key)
-	if err != nil {
-		return state.Swept.After(state.Since.Add(keepUndated))
+	if t, ticketErr := ticketIn(key); ticketErr == nil {
+		born, err = t.Expires.Add(-ticket.Lifetime), nil
 	}
-	return born.After(state.Since.Add(Skew))
+	return err == nil && born.After(state.Since.Add(Skew))
 }
 
 // drop forgets an entry, so that the next call of the key asks anew.
@@ -280,26 +344,75 @@
 }
 
 // Await implements Claims.
-func (s *Store) Await(ctx context.Context, key string) bool {
+func (s *Store) Await(ctx context.Context, key string, holder Holder) *request.Result {
+	if ended := s.ask(ctx, key, holder); ended != nil {
+		return &ended.Result
+	}
+	if result := s.stored(key, holder.Incarnation, time.Now()); result != nil {
+		return result
+	}
+	pause(ctx, awaitInterval)
+	return nil
+}
+
+// stored returns what the log service, as far as it was read, says of a key.
+func (s *Store) stored(key, incarnation string, now time.Time) *request.Result {
 	sh := s.shardOf(key)
-	err := sh.await(ctx, func(fold *logfold.Fold[State]) bool {
-		e := fold.State().Entries[key]
-		return fold.Known() && e != nil && (e.Result != nil || !e.Held())
-	})
-	return !errors.Is(err, context.DeadlineExceeded) && err == nil
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	state := sh.fold.State()
+	if !sh.fold.Known() {
+		return nil
+	}
+	if e := state.Entries[key]; e != nil && e.Result != nil {
+		return e.Result
+	}
+	if _, retired := state.Retired[incarnation]; retired && ticketOf(key, incarnation, now) && covers(state, key) {
+		return &neverRan
+	}
+	return nil
 }
 
+// Know returns the result of a key that this process has, waiting for it
+// while the call runs here. Running tells that it still does.
+func (s *Store) Know(ctx context.Context, key, incarnation string) (ended *Ended, running bool) {
+	s.mu.Lock()
+	own := s.own[key]
+	s.mu.Unlock()
+	if own != nil {
+		select {
+		case <-own.done:
+			if own.result != nil {
+				return &Ended{Key: key, Fingerprint: own.fingerprint, Result: *own.result}, false
+			}
+		case <-ctx.Done():
+			return nil, true
+		}
+	}
+	return s.copies.get(key, incarnation, time.Now()), false
+}
+
+// Home implements Claims.
+func (s *Store) Home(key string) string { return home(s.snapshot(), shardIndex(key)) }
+
 // Complete implements Claims.
 func (s *Store) Complete(key string, result request.Result) {
 	s.mu.Lock()
 	own := s.own[key]
+	if own.result != nil {
+		s.mu.Unlock()
+		return
+	}
 	own.result = &result
 	close(own.done)
 	s.mu.Unlock()
 	s.shardOf(key).enqueue(Op{Result: &ResultOp{
-		Key: key, Fingerprint: own.fingerprint, Holder: own.holder, Result: result,
+		Key: key, Fingerprint: own.fingerprint, Holder: own.holder, Ticket: isTicket(key), Result: result,
 	}})
 	s.notify()
+	ctx, cancel := context.WithTimeout(context.Background(), copyWait)
+	defer cancel()
+	s.spread(ctx, place(key), []Ended{{Key: key, Fingerprint: own.fingerprint, Result: result}}, false)
 }
 
 // Release implements Claims.
@@ -308,7 +421,53 @@
 	own := s.own[key]
 	delete(s.own, key)
 	s.mu.Unlock()
-	s.shardOf(key).enqueue(Op{Release: &ReleaseOp{Key: key, Holder: own.holder}})
-	s.notify()
+	if !isTicket(key) {
+		s.shardOf(key).enqueue(Op{Release: &ReleaseOp{Key: key, Holder: own.holder}})
+		s.notify()
+	}
 	close(own.done)
 }
+
+// Lookup returns the result of a key without claiming it, or nil where neither
+// this host nor its peers nor the log service have one.
+func (s *Store) Lookup(ctx context.Context, key string) *request.Result {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	t, err := ticketIn(key)
+	holder := Holder{}
+	if err == nil {
+		holder = Holder{Host: t.Host, Incarnation: t.Incarnation}
+	}
+	if ended, running := s.Know(ctx, key, holder.Incarnation); ended != nil || running {
+		return resultOf(ended)
+	}
+	sh := s.shardOf(key)
+	readCtx, cancelRead := context.WithTimeout(ctx, lookWait)
+	defer cancelRead()
+	// Where the log service is out, the peers are asked.
+	_ = sh.await(readCtx, func(fold *logfold.Fold[State]) bool { return fold.Next() > 0 })
+	if result := s.stored(key, holder.Incarnation, time.Now()); result != nil {
+		return result
+	}
+	if err != nil {
+		holder = s.holderOf(sh, key)
+	}
+	return resultOf(s.ask(ctx, key, holder))
+}
+
+func resultOf(ended *Ended) *request.Result {
+	if ended == nil {
+		return nil
+	}
+	return &ended.Result
+}
+
+func (s *Store) holderOf(sh *shard, key string) Holder {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.fold.State().Entries[key]
+	if !sh.fold.Known() || e == nil {
+		return Holder{}
+	}
+	return e.Holder
+}
--- /dev/null
+++ b/internal/claim/tickets.go
@@ -0,0 +1,78 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/ticket"
+)
+
+// IssueTicket returns a key that only this process may dispatch, or an empty
+// text when the process has retired.
+func (s *Store) IssueTicket(now time.Time) string {
+	s.mu.Lock()
+	retired := s.retired
+	s.mu.Unlock()
+	if retired {
+		return ""
+	}
+	return s.tickets.Issue(now)
+}
+
+// settleTicket decides on a ticket for which this process has just made an
+// entry. Unless the verdict is Dispatch, the entry is gone afterwards.
+func (s *Store) settleTicket(key string, own *ownEntry, now time.Time) Decision {
+	decision := s.judgeTicket(key, own, now)
+	if decision.Verdict != Dispatch {
+		s.drop(key, own)
+	}
+	return decision
+}
+
+func (s *Store) judgeTicket(key string, own *ownEntry, now time.Time) Decision {
+	t, err := ticketIn(key)
+	if err != nil {
+		return refused(request.NotRun, request.ReasonInvalid)
+	}
+	if t.Incarnation != s.self.Incarnation {
+		return s.foreignTicket(key, own, t, now)
+	}
+	if _, err := s.tickets.Check(unscoped(key)); err != nil {
+		return refused(request.NotRun, request.ReasonInvalid)
+	}
+	switch {
+	case now.After(t.Expires.Add(keep - ticket.Lifetime)):
+		return refused(request.Unknown, request.ReasonKeyExpired)
+	case now.After(t.Expires):
+		return refused(request.NotRun, request.ReasonKeyExpired)
+	case !s.grant(own):
+		return refused(request.NotRun, request.ReasonLeaving)
+	default:
+		return Decision{Verdict: Dispatch}
+	}
+}
+
+// foreignTicket decides on a ticket of another process.
+func (s *Store) foreignTicket(key string, own *ownEntry, t ticket.Ticket, now time.Time) Decision {
+	if ended := s.copies.get(key, t.Incarnation, now); ended != nil {
+		if ended.Fingerprint != own.fingerprint && ended.Result.Outcome != request.NotRun {
+			return refused(request.NotRun, request.ReasonClaimedBefore)
+		}
+		return Decision{Verdict: Stored, Result: ended.Result}
+	}
+	if result := s.stored(key, t.Incarnation, now); result != nil {
+		return Decision{Verdict: Stored, Result: *result}
+	}
+	return Decision{Verdict: Elsewhere, Holder: Holder{Host: t.Host, Incarnation: t.Incarnation}}
+}
+
+// Unused implements Claims. Only of this process's own tickets it is certain.
+func (s *Store) Unused(key string) bool {
+	t, err := ticketIn(key)
+	if err != nil || t.Incarnation != s.self.Incarnation || time.Now().After(t.Expires) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.own[key] == nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,11 +95,6 @@
 	To string
 }
 
-// Delivered tells that a batch of messages reached an entry host.
-type Delivered struct {
-	To string
-}
-
 // LoadReported brings an engine's report of its load.
 type LoadReported struct {
 	Upstream string
@@ -181,8 +176,7 @@
 	Document *document.Document
 }
 
-// MembersChanged tells which entry hosts of the region are live, this one
-// included. It comes only when they, their incarnations or their leaving changed.
+// MembersChanged tells which entry hosts are live, this one included.
 type MembersChanged struct {
 	Hosts []EntryHost
 }
@@ -197,7 +191,6 @@
 func (NoticesListed) isInput()   {}
 func (Heard) isInput()           {}
 func (DeliverFailed) isInput()   {}
-func (Delivered) isInput()       {}
 func (LoadReported) isInput()    {}
 func (CacheChanged) isInput()    {}
 func (AttemptEnded) isInput()    {}
@@ -223,9 +216,7 @@
 // Tell sends a message to another entry host, without a promise that it
 // arrives. Messages to one host between two ticks travel together.
 type Tell struct {
-	To string
-	// Address is where to deliver; empty means the address of the live host.
-	Address string
+	To      string
 	Message *peerv1.Message
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"strings"
@@ -24,9 +25,12 @@
 // endedRetention is how long the output of an ended request is kept.
 const endedRetention = 2 * time.Minute
 
-// RefusalError says that a request was not accepted and did not run.
+// RefusalError says that a request was not accepted.
 type RefusalError struct {
-	Reason request.Reason
+	// Outcome is NotRun, or Unknown where an earlier call of the same key may
+	// have run; zero means NotRun.
+	Outcome request.Outcome
+	Reason  request.Reason
 	// RetryAfter is when to try again; 0 if trying again is of no use.
 	RetryAfter time.Duration
 	// Detail explains the reason.
@@ -35,7 +39,7 @@
 
 // Error gives the reason and the detail.
 func (e *RefusalError) Error() string {
-	return fmt.Sprintf("not run: %s: %s", e.Reason, e.Detail)
+	return fmt.Sprintf("refused: %s: %s", e.Reason, e.Detail)
 }
 
 // Submission is a request as a caller sent it.
@@ -47,6 +51,8 @@
 	Body                     []byte
 	// Timeout shortens the route's deadline; 0 leaves it.
 	Timeout time.Duration
+	// relayed tells that another host accepted the request and passed it on.
+	relayed bool
 }
 
 // Options are what a Dispatcher works with.
@@ -59,6 +65,7 @@
 	Ended  func(RequestEnded)
 	Router route.Router
 	Claims claim.Claims
+	Relay  Relay
 	Dialer dial.Dialer
 	Events *event.Logger
 }
@@ -91,6 +98,8 @@
 	service *document.Service
 	route   *document.Route
 	cancel  context.CancelFunc
+	// relayed tells that another host passed the request on to this one.
+	relayed bool
 	// firstToken is the time from acceptance to the first token; 0 before it.
 	firstToken time.Duration
 	// blamed is the first attempt that failed or was late, last is the newest.
@@ -138,6 +147,10 @@
 	call, err := d.accept(sub)
 	if err != nil {
 		d.counters.Refused.Add(1)
+		var refused *RefusalError
+		if errors.As(err, &refused) && d.mayHaveRun(&sub) {
+			refused.Outcome = request.Unknown
+		}
 		d.reportRefusal(sub, err)
 		return nil, err
 	}
@@ -185,6 +198,7 @@
 		Output:  stream.New(nil),
 		service: service,
 		route:   r,
+		relayed: sub.relayed,
 	}
 	return call, d.register(call, customer)
 }
@@ -222,7 +236,7 @@
 // register counts the call against its customer's limit and makes it findable.
 func (d *Dispatcher) register(call *Call, customer *document.Customer) error {
 	limit := customer.MaxInFlight
-	if limit == 0 {
+	if limit == 0 || call.relayed {
 		limit = math.MaxInt
 	}
 	d.mu.Lock()
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -21,9 +21,10 @@
 	At     time.Time
 }
 
-// reportEnd reports the end of an accepted request.
+// reportEnd reports the end of an accepted request. The host that accepted it
+// first reports it, not those to which it was passed on.
 func (d *Dispatcher) reportEnd(call *Call, result request.Result) {
-	if d.opts.Ended == nil {
+	if d.opts.Ended == nil || call.relayed {
 		return
 	}
 	now := time.Now()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/document"
@@ -58,6 +59,7 @@
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
 	follower   Follower
+	claims     *claim.Store
 }
 
 // Follower finds requests on this host and, through peers, on others.
@@ -94,6 +96,9 @@
 	if m.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx); err != nil {
 		return err
 	}
+	if m.claims, err = kernel.Lookup[*claim.Store](ctx); err != nil {
+		return err
+	}
 	m.follower, err = kernel.Lookup[Follower](ctx)
 	return err
 }
@@ -103,6 +108,7 @@
 	e.GET("/v1/hosts", m.hosts)
 	e.POST("/v1/services/:service/routes/:route", m.submit)
 	e.GET("/v1/requests/:id", m.outcome)
+	e.GET("/v1/keys/:key", m.keyOutcome)
 	e.GET("/v1/requests/:id/stream", m.resume)
 	e.DELETE("/v1/requests/:id", m.cancel)
 	e.GET("/healthz", m.health)
@@ -125,6 +131,9 @@
 	Hosts []NamedHost `json:"hosts"`
 	// LifetimeMs is how long the answer may be kept.
 	LifetimeMs int64 `json:"lifetimeMs"`
+	// Ticket is an idempotency key for one call, which this host can run
+	// without the log service. It is empty while the host is leaving.
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // NamedHost is a host that a caller may use.
@@ -137,6 +146,9 @@
 func (m *Module) hosts(c echo.Context) error {
 	snapshot := m.loop.Snapshot()
 	answer := HostsAnswer{LifetimeMs: hostsLifetime.Milliseconds()}
+	if !snapshot.Leaving {
+		answer.Ticket = m.claims.IssueTicket(time.Now())
+	}
 	for _, host := range chooseHosts(snapshot, c.QueryParam("prefix"), hostsNamed) {
 		answer.Hosts = append(answer.Hosts, NamedHost{ID: host.ID, Address: host.Address, Zone: host.Zone})
 	}
@@ -237,8 +249,12 @@
 	if !errors.As(err, &refused) {
 		return err
 	}
+	outcome := request.NotRun
+	if refused.Outcome == request.Unknown {
+		outcome = request.Unknown
+	}
 	answer := ErrorAnswer{
-		Outcome: request.NotRun.String(), Reason: refused.Reason,
+		Outcome: outcome.String(), Reason: refused.Reason,
 		Detail: refused.Detail, RetryAfterMs: refused.RetryAfter.Milliseconds(),
 	}
 	c.Response().Header().Set(HeaderOutcome, answer.Outcome)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,7 +18,6 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
-	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
@@ -33,6 +32,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/platform/weightstore"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
+	"github.com/marigoldmux/marigoldmux/internal/ticket"
 )
 
 // The events of an entry host's life.
@@ -42,10 +42,13 @@
 	eventStopped  = event.Define(103, zapcore.InfoLevel, "host stopped")
 	eventStopFail = event.Define(104, zapcore.WarnLevel, "module did not stop cleanly")
 	eventCutShort = event.Define(105, zapcore.ErrorLevel, "stop ended before all requests had")
+
+	eventRetireLate = event.Define(600, zapcore.WarnLevel, "log service did not take the end of this host's claims; peers were told")
 )
 
 const (
 	defaultDrainTimeout = 30 * time.Second
+	retireTimeout       = 3 * time.Second
 	readHeaderTimeout   = 10 * time.Second
 	incarnationBytes    = 6
 )
@@ -78,7 +81,6 @@
 	app        *kernel.App
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
-	recorder   *burn.Recorder
 	claims     *claim.Store
 	peer       peerv1connect.PeerServiceHandler
 	echo       *echo.Echo
@@ -100,16 +102,23 @@
 		ID: s.Host, Incarnation: NewIncarnation(), Address: s.Address,
 		Zone: s.AvailabilityZone, Region: s.Region,
 	}
-	h := &Host{settings: s, self: self, deps: deps, loop: control.NewLoop(self), recorder: burn.NewRecorder()}
+	h := &Host{settings: s, self: self, deps: deps, loop: control.NewLoop(self)}
 	h.deps.Events = deps.Events.With(zap.String("host", self.ID))
-	h.claims = claim.NewStore(self, h.loop.Snapshot, deps.Platform.Log)
+	tickets, err := ticket.NewIssuer(s.Secret, self.ID, self.Incarnation)
+	if err != nil {
+		return nil, eris.Wrap(ErrStart, err.Error())
+	}
+	once := &peer.Once{Snapshot: h.loop.Snapshot, Dialer: deps.Dialer}
+	h.claims = claim.NewStore(claim.Options{
+		Self: self, Snapshot: h.loop.Snapshot, Log: deps.Platform.Log, Peers: once, Tickets: tickets,
+	})
 	h.dispatcher = dispatch.New(dispatch.Options{
 		Self:     self,
 		Snapshot: h.loop.Snapshot,
-		Report:   h.report,
-		Ended:    h.recorder.Ended,
+		Report:   h.loop.Offer,
 		Router:   route.NewBalancer(h.loop.Snapshot, h.loop.Offer, deps.Seed),
 		Claims:   h.claims,
+		Relay:    once,
 		Dialer:   deps.Dialer,
 		Events:   h.deps.Events,
 	})
@@ -123,7 +132,7 @@
 	ctx := kernel.NewContext(h.settings, h.self, h.deps.Events)
 	kernel.Provide(ctx, h.loop)
 	kernel.Provide(ctx, h.dispatcher)
-	kernel.Provide(ctx, h.recorder)
+	kernel.Provide(ctx, h.claims)
 	kernel.Provide(ctx, h.deps.Dialer)
 	kernel.Provide(ctx, h.deps.Platform.Log)
 	kernel.Provide[entry.Follower](ctx, &peer.Follower{
@@ -145,14 +154,6 @@
 	return nil
 }
 
-// report passes on what was learnt from traffic.
-func (h *Host) report(in control.Input) {
-	if ended, ok := in.(control.AttemptEnded); ok {
-		h.recorder.Attempt(ended, time.Now())
-	}
-	h.loop.Offer(in)
-}
-
 // Loop returns the host's control loop.
 func (h *Host) Loop() *control.Loop { return h.loop }
 
@@ -233,6 +234,7 @@
 	if err != nil {
 		h.deps.Events.Emit(eventCutShort, zap.Int("active", h.dispatcher.Active()))
 	}
+	h.retireClaims()
 	if h.server != nil {
 		err = errors.Join(err, h.server.Shutdown(ctx))
 	}
@@ -241,6 +243,16 @@
 	return err
 }
 
+// retireClaims lets repeats of calls that must run at most once learn at other
+// hosts which of them never ran here.
+func (h *Host) retireClaims() {
+	ctx, cancel := context.WithTimeout(context.Background(), retireTimeout)
+	defer cancel()
+	if err := h.claims.Retire(ctx); err != nil {
+		h.deps.Events.Emit(eventRetireLate, zap.Error(err))
+	}
+}
+
 // Kill ends the host at once, without care for its requests.
 func (h *Host) Kill() {
 	for _, err := range h.app.Stop(context.Background()) {
