--- /dev/null
+++ b/internal/access/access.go
@@ -0,0 +1,116 @@
+// Package access decides who may administrate a deployment and which parts of
+// the document they may change.
+package access
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/marigoldmux/marigoldmux/internal/document"
+)
+
+// Role says what a caller may do.
+type Role string
+
+// The roles.
+const (
+	// RoleOperator may change the whole document.
+	RoleOperator Role = "operator"
+	// RoleTeam may change the services and customers of one team.
+	RoleTeam Role = "team"
+	// RoleViewer may only read.
+	RoleViewer Role = "viewer"
+)
+
+// ErrDenied is the root of errors that say a caller may not do something.
+var ErrDenied = eris.New("not allowed")
+
+// loopbackName is the identity of callers on the host itself.
+const loopbackName = "loopback"
+
+// Account is a person or a program that administrates.
+type Account struct {
+	Name string `json:"name"`
+	Role Role   `json:"role"`
+	// TokenHash is the SHA-256 of the account's bearer token in hexadecimal.
+	TokenHash string `json:"tokenHash"`
+}
+
+// Identity is an authenticated caller.
+type Identity struct {
+	Name string
+	Role Role
+	// Team is set for RoleTeam.
+	Team string
+}
+
+// HashToken returns the hash under which a token is configured.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Identify tells who sent a request. The token is a bearer token, or the
+// password of basic authentication. Without accounts, callers on a loopback
+// address need none and are operators. Its error is ErrDenied.
+func Identify(r *http.Request, accounts []Account, doc *document.Document) (Identity, error) {
+	token := tokenOf(r)
+	if token == "" {
+		if len(accounts) == 0 && fromLoopback(r) {
+			return Identity{Name: loopbackName, Role: RoleOperator}, nil
+		}
+		return Identity{}, eris.Wrap(ErrDenied, "a token is needed")
+	}
+	hash := HashToken(token)
+	for _, account := range accounts {
+		if sameHash(account.TokenHash, hash) {
+			return Identity{Name: account.Name, Role: account.Role}, nil
+		}
+	}
+	if doc != nil {
+		for _, team := range doc.Teams {
+			if sameHash(team.TokenHash, hash) {
+				return Identity{Name: "team " + team.Name, Role: RoleTeam, Team: team.Name}, nil
+			}
+		}
+	}
+	return Identity{}, eris.Wrap(ErrDenied, "the token is not known")
+}
+
+func tokenOf(r *http.Request) string {
+	if token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		return token
+	}
+	_, password, _ := r.BasicAuth()
+	return password
+}
+
+func sameHash(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+// fromLoopback reports whether a request came from this machine and was meant
+// for it. A request that passed a proxy does not count, nor does one with a
+// host name, which a foreign page may have made to resolve to loopback.
+func fromLoopback(r *http.Request) bool {
+	forwarded := r.Header.Get("Forwarded") != "" || r.Header.Get("X-Forwarded-For") != ""
+	return !forwarded && isLoopback(r.RemoteAddr) && isLoopback(r.Host)
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	if host == "localhost" {
+		return true
+	}
+	ip := net.ParseIP(strings.Trim(host, "[]"))
+	return ip != nil && ip.IsLoopback()
+}
--- a/internal/api/peer/v1/peerv1connect/peer.connect.go
+++ b/internal/api/peer/v1/peerv1connect/peer.connect.go
@@ -49,6 +49,8 @@
 	PeerServiceHandoffProcedure = "/peer.v1.PeerService/Handoff"
 	// PeerServiceKeepProcedure is the fully-qualified name of the PeerService's Keep RPC.
 	PeerServiceKeepProcedure = "/peer.v1.PeerService/Keep"
+	// PeerServiceInspectProcedure is the fully-qualified name of the PeerService's Inspect RPC.
+	PeerServiceInspectProcedure = "/peer.v1.PeerService/Inspect"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -69,6 +71,8 @@
 	// Keep stores copies of accepted requests and of results, to be used if
 	// the sender dies.
 	Keep(context.Context, *v1.KeepRequest) (*v1.KeepResponse, error)
+	// Inspect tells the state of a host, or through it of its zone or region.
+	Inspect(context.Context, *v1.InspectRequest) (*v1.InspectResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -124,6 +128,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Keep")),
 			connect.WithClientOptions(opts...),
 		),
+		inspect: connect.NewClient[v1.InspectRequest, v1.InspectResponse](
+			httpClient,
+			baseURL+PeerServiceInspectProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Inspect")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -136,6 +146,7 @@
 	cancel  *connect.Client[v1.CancelRequest, v1.CancelResponse]
 	handoff *connect.Client[v1.HandoffRequest, v1.HandoffResponse]
 	keep    *connect.Client[v1.KeepRequest, v1.KeepResponse]
+	inspect *connect.Client[v1.InspectRequest, v1.InspectResponse]
 }
 
 // Deliver calls peer.v1.PeerService.Deliver.
@@ -201,6 +212,15 @@
 	return nil, err
 }
 
+// Inspect calls peer.v1.PeerService.Inspect.
+func (c *peerServiceClient) Inspect(ctx context.Context, req *v1.InspectRequest) (*v1.InspectResponse, error) {
+	response, err := c.inspect.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Deliver hands over a batch of control messages.
@@ -219,6 +239,8 @@
 	// Keep stores copies of accepted requests and of results, to be used if
 	// the sender dies.
 	Keep(context.Context, *v1.KeepRequest) (*v1.KeepResponse, error)
+	// Inspect tells the state of a host, or through it of its zone or region.
+	Inspect(context.Context, *v1.InspectRequest) (*v1.InspectResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -270,6 +292,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Keep")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceInspectHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceInspectProcedure,
+		svc.Inspect,
+		connect.WithSchema(peerServiceMethods.ByName("Inspect")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceDeliverProcedure:
@@ -286,6 +314,8 @@
 			peerServiceHandoffHandler.ServeHTTP(w, r)
 		case PeerServiceKeepProcedure:
 			peerServiceKeepHandler.ServeHTTP(w, r)
+		case PeerServiceInspectProcedure:
+			peerServiceInspectHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -322,3 +352,7 @@
 func (UnimplementedPeerServiceHandler) Keep(context.Context, *v1.KeepRequest) (*v1.KeepResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Keep is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Inspect(context.Context, *v1.InspectRequest) (*v1.InspectResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Inspect is not implemented"))
+}
--- /dev/null
+++ b/internal/burn/text.go
@@ -0,0 +1,75 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+const columnPadding = 2
+
+// WriteText prints a report for people.
+func (r Report) WriteText(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)
+	p := printer{w: w}
+	p.printf("service-level burn at %s, from %d hosts\n", r.At.UTC().Format("2006-01-02 15:04:05Z"), r.Hosts)
+	if len(r.Missing) > 0 {
+		p.printf("no answer from: %s\n", strings.Join(r.Missing, ", "))
+	}
+	p.printf("\nSERVICE\tROUTE\tCUSTOMER\tOBJECTIVE\tBUDGET LEFT")
+	for _, window := range r.Windows {
+		p.printf("\tBURN %s", window)
+	}
+	p.printf("\n")
+	for _, line := range r.Lines {
+		p.line(line)
+	}
+	p.printf("\n")
+	for _, route := range r.Routes {
+		p.route(route, r.Windows)
+	}
+	if p.err != nil {
+		return p.err
+	}
+	return w.Flush()
+}
+
+// printer keeps the first error of several writes.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
+
+func (p *printer) line(line Line) {
+	p.printf("%s\t%s\t%s\t%g\t%.1f%%", line.Service, line.Route, line.Customer, line.Objective, 100*line.BudgetLeft)
+	for _, window := range line.Windows {
+		p.printf("\t%.2f (%d/%d)", window.Burn, window.Bad, window.Total)
+	}
+	p.printf("\n")
+}
+
+// route prints the burners of the shortest window that has any.
+func (p *printer) route(route Route, windows []string) {
+	for w, burners := range route.Burners {
+		if len(burners) == 0 {
+			continue
+		}
+		for _, b := range burners {
+			p.printf("%s/%s burned by %s\n", route.Service, route.Route, b.describe(windows[w]))
+		}
+		return
+	}
+	p.printf("%s/%s: no version, availability zone or upstream stands out\n", route.Service, route.Route)
+}
+
+func (b Burner) describe(window string) string {
+	return fmt.Sprintf("%s %s: %d of %d attempts bad in %s (elsewhere %d of %d), %d requests charged",
+		b.Dimension, b.Name, b.Bad, b.Attempts, window, b.OtherBad, b.OtherAttempts, b.Burned)
+}
--- a/internal/claim/fold.go
+++ b/internal/claim/fold.go
@@ -17,6 +17,9 @@
 	Skew = 5 * time.Minute
 	// keep is how long an entry stays after its first record.
 	keep = Window + 2*Skew
+	// keepUndated is how long the entry of a key without a birth time stays.
+	// Such a key can be claimed again afterwards.
+	keepUndated = 24 * time.Hour
 	// sweepInterval is the least time between two removals of old entries.
 	sweepInterval = time.Minute
 )
@@ -193,7 +196,7 @@
 	s.Swept = at
 	horizon := at.Add(-keep)
 	for key, e := range s.Entries {
-		if e.Seen.Before(horizon) {
+		if e.Seen.Before(at.Add(-keepOf(key))) {
 			delete(s.Entries, key)
 		}
 	}
@@ -203,3 +206,11 @@
 		}
 	}
 }
+
+// keepOf returns how long the entry of a key stays after its first record.
+func keepOf(key string) time.Duration {
+	if _, err := Born(key); err != nil {
+		return keepUndated
+	}
+	return keep
+}
--- a/internal/claim/key.go
+++ b/internal/claim/key.go
@@ -11,9 +11,9 @@
 
 // The errors of keys.
 var (
-	// ErrNoBirthTime says that a key does not tell when it was made. No host
-	// ever runs such a key.
-	ErrNoBirthTime = errors.New(`the key does not begin with its birth time: want a UUIDv7, or "<unix seconds>.<text>"`)
+	// ErrNoBirthTime says that a key does not tell when it was made: it is
+	// neither a UUIDv7 nor of the form "<unix seconds>.<text>".
+	ErrNoBirthTime = errors.New("the key does not tell when it was made")
 	// ErrKeyAge says that a key is too old, or from the future, to be claimed.
 	ErrKeyAge = errors.New("the key is too old or from the future")
 )
@@ -62,12 +62,12 @@
 	return time.Unix(seconds, 0), nil
 }
 
-// CheckAge reports whether a key may be claimed at a time. Its errors are
-// ErrNoBirthTime and ErrKeyAge.
+// CheckAge reports whether a key may be claimed at a time. A key without a
+// birth time may be claimed at any. Its error is ErrKeyAge.
 func CheckAge(key string, at time.Time) error {
 	born, err := Born(key)
 	if err != nil {
-		return err
+		return nil //nolint:nilerr // such keys have no age
 	}
 	if at.After(born.Add(Window)) || born.After(at.Add(Skew)) {
 		return ErrKeyAge
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -170,9 +170,6 @@
 // Acquire implements Claims.
 func (s *Store) Acquire(ctx context.Context, key string, fingerprint uint64) (Decision, error) {
 	withTicket := isTicket(key)
-	if _, err := Born(key); err != nil && !withTicket {
-		return refused(request.NotRun, request.ReasonInvalid), nil
-	}
 	for {
 		own, mine := s.reserve(key, fingerprint)
 		if own.fingerprint != fingerprint {
@@ -332,7 +329,10 @@
 	if t, ticketErr := ticketIn(key); ticketErr == nil {
 		born, err = t.Expires.Add(-ticket.Lifetime), nil
 	}
-	return err == nil && born.After(state.Since.Add(Skew))
+	if err != nil {
+		return state.Swept.After(state.Since.Add(keepUndated))
+	}
+	return born.After(state.Since.Add(Skew))
 }
 
 // drop forgets an entry, so that the next call of the key asks anew.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,6 +95,11 @@
 	To string
 }
 
+// Delivered tells that a batch of messages reached an entry host.
+type Delivered struct {
+	To string
+}
+
 // LoadReported brings an engine's report of its load.
 type LoadReported struct {
 	Upstream string
@@ -176,7 +181,8 @@
 	Document *document.Document
 }
 
-// MembersChanged tells which entry hosts are live, this one included.
+// MembersChanged tells which entry hosts of the region are live, this one
+// included. It comes only when they, their incarnations or their leaving changed.
 type MembersChanged struct {
 	Hosts []EntryHost
 }
@@ -191,6 +197,7 @@
 func (NoticesListed) isInput()   {}
 func (Heard) isInput()           {}
 func (DeliverFailed) isInput()   {}
+func (Delivered) isInput()       {}
 func (LoadReported) isInput()    {}
 func (CacheChanged) isInput()    {}
 func (AttemptEnded) isInput()    {}
@@ -216,7 +223,9 @@
 // Tell sends a message to another entry host, without a promise that it
 // arrives. Messages to one host between two ticks travel together.
 type Tell struct {
-	To      string
+	To string
+	// Address is where to deliver; empty means the address of the live host.
+	Address string
 	Message *peerv1.Message
 }
 
--- /dev/null
+++ b/internal/control/membership/gossip.go
@@ -0,0 +1,162 @@
+package membership
+
+import (
+	"time"
+
+	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+)
+
+// tell completes a message with this host's own state and the newest changes.
+func (m *Machine) tell(now time.Time, to string, gossip *peerv1.Gossip) control.Output {
+	introduce := now.Sub(m.own.joined) < introduction
+	gossip.Hosts = append(gossip.Hosts, m.own.state(introduce))
+	if m.greet(to) {
+		gossip.Hosts = append(gossip.Hosts, m.digest(to)...)
+	}
+	for _, id := range m.rumours.take(to) {
+		if peer := m.peers[id]; peer != nil {
+			fresh := !peer.listed || now.Sub(peer.joined) < introduction
+			gossip.Hosts = append(gossip.Hosts, peer.state(fresh))
+		}
+	}
+	out := control.Tell{To: to, Message: &peerv1.Message{Body: &peerv1.Message_Gossip{Gossip: gossip}}}
+	if peer := m.peers[to]; peer != nil {
+		out.Address = peer.host.Address
+	}
+	return out
+}
+
+// greet reports whether a host's incarnation is met for the first time.
+func (m *Machine) greet(to string) bool {
+	peer := m.peers[to]
+	if peer == nil || peer.host.Incarnation == "" || m.greeted[to] == peer.host.Incarnation {
+		return false
+	}
+	m.greeted[to] = peer.host.Incarnation
+	return true
+}
+
+// digest lists what a newcomer cannot know from the host list: who is suspect,
+// dead or leaving.
+func (m *Machine) digest(to string) []*peerv1.HostState {
+	var words []*peerv1.HostState
+	for _, id := range sortedKeys(m.peers) {
+		peer := m.peers[id]
+		if id != to && (gravity(peer.status) > 0 || peer.host.Leaving) {
+			words = append(words, peer.state(false))
+		}
+	}
+	return words
+}
+
+// heard takes a message; whatever it says, its sender is alive.
+func (m *Machine) heard(now time.Time, in control.Heard) []control.Output {
+	outs := m.confirm(now, in.From)
+	body, ok := in.Message.GetBody().(*peerv1.Message_Gossip)
+	if !ok {
+		return outs
+	}
+	gossip := body.Gossip
+	for _, word := range gossip.GetHosts() {
+		m.takeWord(now, word)
+	}
+	if peer := m.peers[in.From]; peer != nil && gravity(peer.status) > 0 {
+		// The sender does not know yet that it is suspected.
+		outs = append(outs, m.tell(now, in.From, &peerv1.Gossip{Hosts: []*peerv1.HostState{peer.state(false)}}))
+	}
+	switch target := gossip.GetProbe(); {
+	case target == "":
+	case gossip.GetAck() > 0:
+		delete(m.probes, target)
+	default:
+		outs = append(outs, m.probeFor(now, in.From, gossip)...)
+	}
+	return outs
+}
+
+// takeWord weighs what another host says about a host.
+func (m *Machine) takeWord(now time.Time, word *peerv1.HostState) {
+	if word.GetId() == m.self.ID {
+		m.refute(word)
+		return
+	}
+	peer := m.peers[word.GetId()]
+	if peer == nil {
+		m.meet(now, word)
+		return
+	}
+	if !supersedes(word, peer) {
+		m.takeOffset(word, peer)
+		return
+	}
+	m.adopt(now, word, peer)
+}
+
+// refute answers a word that this host is not what it is.
+func (m *Machine) refute(word *peerv1.HostState) {
+	stale := word.GetIncarnation() != m.self.Incarnation || gravity(word.GetStatus()) > 0
+	if stale && word.GetCounter() >= m.own.counter {
+		m.own.counter = word.GetCounter() + 1
+		m.rumours.add(m.self.ID)
+	}
+}
+
+// meet takes in a host that is not on the list yet.
+func (m *Machine) meet(now time.Time, word *peerv1.HostState) {
+	if word.GetAddress() == "" || word.GetRegion() != m.self.Region || gravity(word.GetStatus()) > 0 {
+		return
+	}
+	peer := &member{joined: now, host: control.EntryHost{
+		ID: word.GetId(), Address: word.GetAddress(), Zone: word.GetAvailabilityZone(), Region: word.GetRegion(),
+	}}
+	m.peers[word.GetId()] = peer
+	m.adopt(now, word, peer)
+}
+
+func (m *Machine) takeOffset(word *peerv1.HostState, peer *member) {
+	if word.GetCounter() == peer.counter && word.GetConfigOffset() > peer.configOffset {
+		peer.configOffset = word.GetConfigOffset()
+		m.inForce = nil
+		m.rumours.add(word.GetId())
+	}
+}
+
+// adopt takes a word that supersedes what was believed. Word of a death begins
+// a suspicion, so that a host that lives has the time to refute.
+func (m *Machine) adopt(now time.Time, word *peerv1.HostState, peer *member) {
+	wasLive, wasLeaving := peer.live(), peer.host.Leaving
+	id := word.GetId()
+	peer.counter = word.GetCounter()
+	peer.configOffset = max(peer.configOffset, word.GetConfigOffset())
+	if word.GetIncarnation() != "" && word.GetIncarnation() != peer.host.Incarnation {
+		m.changed = true
+		peer.host.Incarnation = word.GetIncarnation()
+		peer.host.Leaving = false
+		peer.joined = now
+	}
+	if word.GetAddress() != "" && word.GetAddress() != peer.host.Address {
+		peer.host.Address = word.GetAddress()
+		m.changed = true
+	}
+	if gravity(word.GetStatus()) > 0 {
+		m.adoptSuspicion(now, peer)
+	} else {
+		peer.status = word.GetStatus()
+		peer.host.Leaving = word.GetStatus() == peerv1.HostStatus_HOST_STATUS_LEAVING
+	}
+	if gravity(word.GetStatus()) > 0 || wasLeaving != peer.host.Leaving {
+		m.urgent = now.Add(urgency)
+	}
+	m.inForce = nil
+	m.rumours.add(id)
+	m.changed = m.changed || wasLive != peer.live() || wasLeaving != peer.host.Leaving
+}
+
+func (m *Machine) adoptSuspicion(now time.Time, peer *member) {
+	if gravity(peer.status) > 0 {
+		return
+	}
+	peer.status = peerv1.HostStatus_HOST_STATUS_SUSPECT
+	peer.suspected = now
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -24,8 +24,12 @@
 	// Leaving tells that this host is stopping; Deadline is when it must be gone.
 	Leaving  bool
 	Deadline time.Time
-	// Hosts holds the live entry hosts, this one included, by ID.
+	// Hosts holds the live entry hosts, this one included, by ID. Hosts of
+	// other regions are taken from the host list.
 	Hosts map[string]EntryHost
+	// Reclaims holds the hosts under a reclaim notice, with the time until
+	// which each may be used.
+	Reclaims map[string]time.Time
 	// Upstreams holds the listed upstreams of each service.
 	Upstreams map[string][]*Upstream
 	// Shares holds the share of new requests of each version, by service and route.
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -20,6 +20,9 @@
 	"github.com/marigoldmux/marigoldmux/internal/host"
 	"github.com/marigoldmux/marigoldmux/internal/httpjson"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
+
+	// The hosts of a system have all modules.
+	_ "github.com/marigoldmux/marigoldmux/internal/modules"
 	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
@@ -53,6 +56,8 @@
 	Seed   uint64
 	// Secret is the deployment's shared secret.
 	Secret []byte
+	// Instant makes the upstreams answer without delay.
+	Instant bool
 }
 
 // System is a running deployment.
@@ -163,12 +168,7 @@
 	s.mu.Lock()
 	seed := s.opts.Seed + uint64(len(s.Engines)+len(s.Plains))
 	if service.Kind == document.KindEngine {
-		e := standin.NewEngine(standin.EngineOptions{
-			Version: req.Version, Slots: service.Upstream.MaxInFlight,
-			ColdSlots: service.Upstream.ColdInFlight, ColdStart: engineCold,
-			Prefill: enginePrefill, Between: engineBetween,
-			ChecksFencing: service.Upstream.ChecksFencing, Seed: seed,
-		})
+		e := standin.NewEngine(s.engineOptions(service, req.Version, seed))
 		s.Engines[req.ID] = e
 		handler = standin.EngineHandler(e)
 	} else {
@@ -187,6 +187,17 @@
 	})
 }
 
+func (s *System) engineOptions(service *document.Service, version string, seed uint64) standin.EngineOptions {
+	opts := standin.EngineOptions{
+		Version: version, Slots: service.Upstream.MaxInFlight, ColdSlots: service.Upstream.ColdInFlight,
+		ChecksFencing: service.Upstream.ChecksFencing, Seed: seed,
+	}
+	if !s.opts.Instant {
+		opts.ColdStart, opts.Prefill, opts.Between = engineCold, enginePrefill, engineBetween
+	}
+	return opts
+}
+
 // StopUpstream takes an upstream away at once.
 func (s *System) StopUpstream(id string) {
 	s.mu.Lock()
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -14,7 +14,7 @@
 func chooseHosts(snapshot *control.Snapshot, prefix string, count int) []control.EntryHost {
 	var hosts []control.EntryHost
 	for _, host := range snapshot.Hosts {
-		if !host.Leaving {
+		if !host.Leaving && host.Region == snapshot.Self.Region {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
+	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
@@ -81,6 +82,7 @@
 	app        *kernel.App
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
+	recorder   *burn.Recorder
 	claims     *claim.Store
 	peer       peerv1connect.PeerServiceHandler
 	echo       *echo.Echo
@@ -102,7 +104,7 @@
 		ID: s.Host, Incarnation: NewIncarnation(), Address: s.Address,
 		Zone: s.AvailabilityZone, Region: s.Region,
 	}
-	h := &Host{settings: s, self: self, deps: deps, loop: control.NewLoop(self)}
+	h := &Host{settings: s, self: self, deps: deps, loop: control.NewLoop(self), recorder: burn.NewRecorder()}
 	h.deps.Events = deps.Events.With(zap.String("host", self.ID))
 	tickets, err := ticket.NewIssuer(s.Secret, self.ID, self.Incarnation)
 	if err != nil {
@@ -115,7 +117,8 @@
 	h.dispatcher = dispatch.New(dispatch.Options{
 		Self:     self,
 		Snapshot: h.loop.Snapshot,
-		Report:   h.loop.Offer,
+		Report:   h.report,
+		Ended:    h.recorder.Ended,
 		Router:   route.NewBalancer(h.loop.Snapshot, h.loop.Offer, deps.Seed),
 		Claims:   h.claims,
 		Relay:    once,
@@ -132,6 +135,7 @@
 	ctx := kernel.NewContext(h.settings, h.self, h.deps.Events)
 	kernel.Provide(ctx, h.loop)
 	kernel.Provide(ctx, h.dispatcher)
+	kernel.Provide(ctx, h.recorder)
 	kernel.Provide(ctx, h.claims)
 	kernel.Provide(ctx, h.deps.Dialer)
 	kernel.Provide(ctx, h.deps.Platform.Log)
@@ -154,6 +158,14 @@
 	return nil
 }
 
+// report passes on what was learnt from traffic.
+func (h *Host) report(in control.Input) {
+	if ended, ok := in.(control.AttemptEnded); ok {
+		h.recorder.Attempt(ended, time.Now())
+	}
+	h.loop.Offer(in)
+}
+
 // Loop returns the host's control loop.
 func (h *Host) Loop() *control.Loop { return h.loop }
 
--- a/internal/host/performer.go
+++ b/internal/host/performer.go
@@ -36,20 +36,26 @@
 
 	mu sync.Mutex
 	// outbox holds the messages of this step by receiver.
-	outbox map[string][]*peerv1.Message
+	outbox map[string]*parcel
 	// sending holds the receivers to which a batch is on its way.
 	sending map[string]bool
 	logUp   bool
 	logSeen bool
 }
 
+// parcel is what waits to be sent to one receiver.
+type parcel struct {
+	address  string
+	messages []*peerv1.Message
+}
+
 var _ control.Performer = (*performer)(nil)
 
 func newPerformer(ctx context.Context, self control.Self, loop *control.Loop, deps Dependencies, work *sync.WaitGroup) *performer {
 	return &performer{
 		ctx: ctx, self: self, loop: loop, deps: deps, work: work,
 		slots:   make(chan struct{}, maxConcurrent),
-		outbox:  map[string][]*peerv1.Message{},
+		outbox:  map[string]*parcel{},
 		sending: map[string]bool{},
 	}
 }
@@ -58,7 +64,7 @@
 func (p *performer) Perform(out control.Output) {
 	switch out := out.(type) {
 	case control.Tell:
-		p.enqueue(out.To, out.Message)
+		p.enqueue(out)
 	case control.Append:
 		p.goes(func(ctx context.Context) control.Input { return p.append(ctx, out) })
 	case control.PollUpstream:
@@ -132,11 +138,19 @@
 	return answer
 }
 
-func (p *performer) enqueue(to string, message *peerv1.Message) {
+func (p *performer) enqueue(out control.Tell) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.outbox[to]) < maxOutbox {
-		p.outbox[to] = append(p.outbox[to], message)
+	waiting := p.outbox[out.To]
+	if waiting == nil {
+		waiting = &parcel{}
+		p.outbox[out.To] = waiting
+	}
+	if out.Address != "" {
+		waiting.address = out.Address
+	}
+	if len(waiting.messages) < maxOutbox {
+		waiting.messages = append(waiting.messages, out.Message)
 	}
 }
 
@@ -158,31 +172,36 @@
 	defer p.work.Done()
 	for {
 		p.mu.Lock()
-		messages := p.outbox[to]
+		waiting := p.outbox[to]
 		delete(p.outbox, to)
-		if len(messages) == 0 || p.ctx.Err() != nil {
+		if waiting == nil || p.ctx.Err() != nil {
 			delete(p.sending, to)
 			p.mu.Unlock()
 			return
 		}
 		p.mu.Unlock()
-		if err := p.deliver(to, messages); err != nil {
+		if err := p.deliver(to, waiting); err != nil {
 			p.loop.Put(p.ctx, control.DeliverFailed{To: to})
+		} else {
+			p.loop.Put(p.ctx, control.Delivered{To: to})
 		}
 	}
 }
 
 var errNotListed = errors.New("host is not listed")
 
-func (p *performer) deliver(to string, messages []*peerv1.Message) error {
-	host, known := p.loop.Snapshot().Hosts[to]
-	if !known {
+func (p *performer) deliver(to string, waiting *parcel) error {
+	address := waiting.address
+	if host, known := p.loop.Snapshot().Hosts[to]; address == "" && known {
+		address = host.Address
+	}
+	if address == "" {
 		return errNotListed
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	defer cancel()
-	_, err := p.deps.Dialer.Peer(host.Address).Deliver(ctx, &peerv1.DeliverRequest{
-		From: p.self.ID, Incarnation: p.self.Incarnation, Messages: messages,
+	_, err := p.deps.Dialer.Peer(address).Deliver(ctx, &peerv1.DeliverRequest{
+		From: p.self.ID, Incarnation: p.self.Incarnation, Messages: waiting.messages,
 	})
 	return err
 }
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -2,10 +2,12 @@
 package modules
 
 import (
+	_ "github.com/marigoldmux/marigoldmux/internal/admin"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/config"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/membership"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/rollout"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/upstreams"
 	_ "github.com/marigoldmux/marigoldmux/internal/entry"
 	_ "github.com/marigoldmux/marigoldmux/internal/peer"
+	_ "github.com/marigoldmux/marigoldmux/internal/survey"
 )
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/stream"
+	"github.com/marigoldmux/marigoldmux/internal/survey"
 )
 
 const (
@@ -34,6 +35,7 @@
 
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
+	surveyor   *survey.Surveyor
 	claims     *claim.Store
 }
 
@@ -52,6 +54,9 @@
 	if s.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx); err != nil {
 		return err
 	}
+	if s.surveyor, err = kernel.Lookup[*survey.Surveyor](ctx); err != nil {
+		return err
+	}
 	if s.claims, err = kernel.Lookup[*claim.Store](ctx); err != nil {
 		return err
 	}
@@ -115,6 +120,11 @@
 	return &peerv1.CancelResponse{Found: s.dispatcher.Cancel(req.GetId())}, nil
 }
 
+// Inspect implements peerv1connect.PeerServiceHandler.
+func (s *Server) Inspect(ctx context.Context, req *peerv1.InspectRequest) (*peerv1.InspectResponse, error) {
+	return s.surveyor.Inspect(ctx, survey.Question{Scope: req.GetScope(), Burn: req.GetBurn()}), nil
+}
+
 // Keep implements peerv1connect.PeerServiceHandler.
 func (s *Server) Keep(_ context.Context, req *peerv1.KeepRequest) (*peerv1.KeepResponse, error) {
 	s.keepEnded(req)
--- a/internal/testbed/peer.go
+++ b/internal/testbed/peer.go
@@ -76,3 +76,8 @@
 func (c *peerClient) Keep(ctx context.Context, req *peerv1.KeepRequest) (*peerv1.KeepResponse, error) {
 	return call(ctx, c, req, peerv1connect.PeerServiceHandler.Keep)
 }
+
+// Inspect implements peerv1connect.PeerServiceClient.
+func (c *peerClient) Inspect(ctx context.Context, req *peerv1.InspectRequest) (*peerv1.InspectResponse, error) {
+	return call(ctx, c, req, peerv1connect.PeerServiceHandler.Inspect)
+}
