Let two hosts of a large region read the host list for all

Cause: every host read the whole list twice a second. Regions of up to 16 hosts go on as before; in a larger one the two hosts that rendezvous hashing chooses read, with If-None-Match and gzip, and the first tells the others what changed, with a digest of the whole. A host whose digest differs reads the list itself.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -83,6 +83,20 @@
 	Notices []cloud.Notice
 }
 
+// HostsRead brings the platform's host list as this host read it. HostsListed
+// follows from it.
+type HostsRead struct {
+	List hostlist.List
+	Err  error
+}
+
+// NoticesRead brings the reclaim notices as this host read them. NoticesListed
+// follows from it.
+type NoticesRead struct {
+	Notices []cloud.Notice
+	Err     error
+}
+
 // Heard is a message from another entry host.
 type Heard struct {
 	From        string
@@ -195,6 +209,8 @@
 func (AppendFailed) isInput()    {}
 func (HostsListed) isInput()     {}
 func (NoticesListed) isInput()   {}
+func (HostsRead) isInput()       {}
+func (NoticesRead) isInput()     {}
 func (Heard) isInput()           {}
 func (DeliverFailed) isInput()   {}
 func (Delivered) isInput()       {}
@@ -237,6 +253,12 @@
 	CacheAfter int64
 }
 
+// ReadHosts asks the platform for the host list. HostsRead answers it.
+type ReadHosts struct{}
+
+// ReadNotices asks the platform for the reclaim notices. NoticesRead answers it.
+type ReadNotices struct{}
+
 // StartHost asks the platform for a host. HostStarted answers it.
 type StartHost struct {
 	cloud.StartRequest
@@ -268,6 +290,8 @@
 func (Raise) isOutput()          {}
 func (Tell) isOutput()           {}
 func (PollUpstream) isOutput()   {}
+func (ReadHosts) isOutput()      {}
+func (ReadNotices) isOutput()    {}
 func (StartHost) isOutput()      {}
 func (StopHost) isOutput()       {}
 func (OrderEngine) isOutput()    {}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -242,7 +242,7 @@
 
 // Dependencies returns the dependencies of a host that reaches everything over HTTP.
 func Dependencies(s *settings.Settings, events *event.Logger, seed uint64) host.Dependencies {
-	client := httpjson.NewClient()
+	client := httpjson.NewCompressingClient()
 	return host.Dependencies{
 		Platform: host.Platform{
 			Log:     logsvc.NewClient(s.Platform.Log, client),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -191,8 +191,6 @@
 		h.goes(func() { io.readStream(stream) })
 	}
 	h.goes(func() { h.claims.Run(ctx) })
-	h.goes(io.pollHosts)
-	h.goes(io.pollNotices)
 	if err := h.app.Start(ctx); err != nil {
 		cancel()
 		return err
--- a/internal/host/performer.go
+++ b/internal/host/performer.go
@@ -69,6 +69,16 @@
 		p.goes(func(ctx context.Context) control.Input { return p.append(ctx, out) })
 	case control.PollUpstream:
 		p.goes(func(ctx context.Context) control.Input { return p.poll(ctx, out) })
+	case control.ReadHosts:
+		p.goes(func(ctx context.Context) control.Input {
+			list, err := p.deps.Platform.Hosts.Hosts(ctx)
+			return control.HostsRead{List: list, Err: err}
+		})
+	case control.ReadNotices:
+		p.goes(func(ctx context.Context) control.Input {
+			notices, err := p.deps.Platform.Cloud.Notices(ctx)
+			return control.NoticesRead{Notices: notices, Err: err}
+		})
 	case control.StartHost:
 		p.goes(func(ctx context.Context) control.Input {
 			err := p.deps.Platform.Cloud.Start(ctx, out.StartRequest)
@@ -248,21 +258,3 @@
 	case <-p.ctx.Done():
 	}
 }
-
-func (p *performer) pollHosts() {
-	for p.ctx.Err() == nil {
-		if list, err := p.deps.Platform.Hosts.Hosts(p.ctx); err == nil {
-			p.loop.Put(p.ctx, control.HostsListed{List: list})
-		}
-		p.pause(hostsPoll)
-	}
-}
-
-func (p *performer) pollNotices() {
-	for p.ctx.Err() == nil {
-		if notices, err := p.deps.Platform.Cloud.Notices(p.ctx); err == nil {
-			p.loop.Put(p.ctx, control.NoticesListed{Notices: notices})
-		}
-		p.pause(noticesPoll)
-	}
-}
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -54,13 +54,20 @@
 func (e *TransportError) Unwrap() error { return e.Err }
 
 // NewClient returns an HTTP client for calls between hosts of one deployment.
-// It follows no redirects and uses no proxy.
-func NewClient() *http.Client {
+// It follows no redirects, uses no proxy and asks for no compression, which
+// would hold back the events of a stream.
+func NewClient() *http.Client { return newClient(false) }
+
+// NewCompressingClient returns a client like NewClient that asks for
+// compressed answers.
+func NewCompressingClient() *http.Client { return newClient(true) }
+
+func newClient(compress bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			MaxIdleConnsPerHost: dialIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DisableCompression:  !compress,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -4,6 +4,7 @@
 import (
 	_ "github.com/marigoldmux/marigoldmux/internal/admin"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/config"
+	_ "github.com/marigoldmux/marigoldmux/internal/control/listing"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/membership"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/rollout"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/upstreams"
--- a/internal/platform/hostlist/hostlist.go
+++ b/internal/platform/hostlist/hostlist.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/document"
@@ -52,10 +54,15 @@
 	Hosts(ctx context.Context) (List, error)
 }
 
-// Client reads the host list over HTTP.
+// Client reads the host list over HTTP. It asks for the list only if it
+// changed since the last answer.
 type Client struct {
 	base string
 	http *http.Client
+
+	mu   sync.Mutex
+	etag string
+	last List
 }
 
 var _ Source = (*Client)(nil)
@@ -67,9 +74,27 @@
 
 // Hosts implements Source.
 func (c *Client) Hosts(ctx context.Context) (List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/hosts", nil)
+	if err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.etag != "" {
+		req.Header.Set("If-None-Match", c.etag)
+	}
+	resp, err := httpjson.Send(c.http, req)
+	if httpjson.Status(err) == http.StatusNotModified {
+		return c.last, nil
+	}
+	if err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
 	var list List
-	if err := httpjson.Call(ctx, c.http, http.MethodGet, c.base+"/v1/hosts", nil, &list); err != nil {
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	c.etag, c.last = resp.Header.Get("ETag"), list
 	return list, nil
 }
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -1,14 +1,18 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
@@ -38,8 +42,7 @@
 		serveRead(w, r, log)
 	})
 	mux.HandleFunc("GET /hostlist/v1/hosts", func(w http.ResponseWriter, r *http.Request) {
-		list, err := hosts.Hosts(r.Context())
-		reply(w, list, err, http.StatusServiceUnavailable)
+		serveHosts(w, r, hosts)
 	})
 	mux.HandleFunc("POST /cloud/v1/hosts", func(w http.ResponseWriter, r *http.Request) {
 		var req cloud.StartRequest
@@ -70,6 +73,35 @@
 	return mux
 }
 
+// serveHosts answers with the list, or with status 304 if only its time is new.
+func serveHosts(w http.ResponseWriter, r *http.Request, hosts hostlist.Source) {
+	list, err := hosts.Hosts(r.Context())
+	if err != nil {
+		reply(w, nil, err, http.StatusServiceUnavailable)
+		return
+	}
+	data, err := json.Marshal(list.Hosts)
+	if err != nil {
+		reply(w, nil, err, http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("ETag", etag)
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		reply(w, list, nil, 0)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	zipped := gzip.NewWriter(w)
+	_ = json.NewEncoder(zipped).Encode(list)
+	_ = zipped.Close()
+}
+
 func serveRead(w http.ResponseWriter, r *http.Request, log logsvc.Log) {
 	query := r.URL.Query()
 	from, fromErr := strconv.ParseInt(query.Get("from"), 10, 64)
