Hold each upstream's limit over all entry hosts by credits

Each host divided an upstream's limit by its own count of live hosts, so two views of the hosts could send twice the limit, a cold upstream was treated as warm, and 2 requests could not be divided among 9 hosts at all.

Every host that may send owns an equal share of the limit and lends it, for a lease, to the one host that it takes for the keeper; keepers grant whole requests out of what was lent to them. Sums hold in any view: a property test splits views, loses and delays messages and pauses hosts.

Publish reuses what did not change.

--- /dev/null
+++ b/internal/control/upstreams/health.go
@@ -0,0 +1,118 @@
+package upstreams
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/upstream"
+)
+
+const (
+	// slowFactor is the number of times that an answer must take longer than
+	// usual to count as slow, and leastSlow the time that is never slow.
+	slowFactor = 4
+	leastSlow  = 50 * time.Millisecond
+	// baselineGain is the weight of a new sample in a route's usual times.
+	baselineGain = 0.1
+	// tripFailures is the number of failures in a row after which this host
+	// sends nothing to an upstream for a while, from tripTime on.
+	tripFailures = 3
+	tripTime     = time.Second
+	maxTrips     = 4
+	// stallTime is the time without a token from which on an attempt that was
+	// given up counts as failed.
+	stallTime = 2 * time.Second
+)
+
+// baseline is the usual latency of a route over all upstreams.
+type baseline struct {
+	first, between time.Duration
+}
+
+// slow reports whether a latency is far above a usual one, and moves that.
+func slow(usual *time.Duration, latency time.Duration) bool {
+	if latency == 0 {
+		return false
+	}
+	if *usual == 0 {
+		*usual = latency
+		return false
+	}
+	isSlow := latency > slowFactor**usual && latency > leastSlow
+	*usual += time.Duration(baselineGain * float64(latency-*usual))
+	return isSlow
+}
+
+// breaker keeps this host from an upstream that fails it.
+type breaker struct {
+	failures, trips int
+	until           time.Time
+}
+
+func (b *breaker) ok() { *b = breaker{} }
+
+func (b *breaker) failed(now time.Time) {
+	b.failures++
+	if b.failures < tripFailures {
+		return
+	}
+	b.until = now.Add(tripTime << b.trips)
+	b.trips = min(b.trips+1, maxTrips)
+	b.failures = tripFailures - 1
+}
+
+// attemptEnded learns from an attempt by this host.
+func (m *Machine) attemptEnded(now time.Time, in control.AttemptEnded) {
+	e := m.entries[in.Upstream]
+	if e == nil {
+		return
+	}
+	if in.Failure != nil {
+		m.attemptFailed(now, e, in)
+		return
+	}
+	if e.breaker.failures > 0 {
+		e.breaker.ok()
+		m.changed = true
+	}
+	key := control.RouteKey{Service: in.Service, Route: in.Route}
+	usual := m.baselines[key]
+	if usual == nil {
+		usual = &baseline{}
+		m.baselines[key] = usual
+	}
+	first := in.FirstToken
+	if first == 0 {
+		first = in.Took
+	}
+	slowFirst := slow(&usual.first, first)
+	slowBetween := slow(&usual.between, in.Between)
+	if slowFirst || slowBetween {
+		e.evidence.Slow++
+		return
+	}
+	e.evidence.Good++
+}
+
+func (m *Machine) attemptFailed(now time.Time, e *entry, in control.AttemptEnded) {
+	if !blamed(in) {
+		return
+	}
+	e.evidence.Failed++
+	e.breaker.failed(now)
+	m.changed = true
+}
+
+// blamed reports whether an attempt failed because of the upstream, not
+// because its caller left or its time was up.
+func blamed(in control.AttemptEnded) bool {
+	switch in.Failure.Kind {
+	case upstream.Invalid, upstream.Crossed:
+		return false
+	default:
+	}
+	given := errors.Is(in.Failure.Err, context.Canceled) || errors.Is(in.Failure.Err, context.DeadlineExceeded)
+	return !given || (in.Tokens == 0 && in.Took >= stallTime)
+}
--- /dev/null
+++ b/internal/control/upstreams/publish.go
@@ -0,0 +1,84 @@
+package upstreams
+
+import (
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+)
+
+// publishKey holds what a published upstream was made from.
+type publishKey struct {
+	host     hostlist.Host
+	price    float64
+	open     bool
+	limit    int
+	until    time.Time
+	capacity int
+	cold     bool
+	load     float64
+	report   uint64
+	set      bool
+}
+
+// Publish implements control.Machine. Values of upstreams that did not change
+// are those of the last snapshot.
+func (m *Machine) Publish(now time.Time, next *control.Snapshot) {
+	if m.changed {
+		m.changed = false
+		m.publish(now)
+	}
+	if m.published != nil {
+		next.Upstreams = m.published
+	}
+}
+
+func (m *Machine) publish(now time.Time) {
+	renewed := len(m.ordered) != m.publishedCount()
+	for _, e := range m.ordered {
+		key := e.publishKey(now)
+		if key != e.key {
+			e.key = key
+			e.published = key.upstream(e.prefixes)
+			renewed = true
+		}
+	}
+	if !renewed {
+		return
+	}
+	m.published = make(map[string][]*control.Upstream, len(m.published))
+	for _, e := range m.ordered {
+		m.published[e.host.Service] = append(m.published[e.host.Service], e.published)
+	}
+}
+
+func (m *Machine) publishedCount() int {
+	count := 0
+	for _, list := range m.published {
+		count += len(list)
+	}
+	return count
+}
+
+func (e *entry) publishKey(now time.Time) publishKey {
+	limit, until := e.holder.Limit(now, e.members, e.traits.Cold)
+	capacity := e.holder.Level(now)
+	if capacity == 0 {
+		capacity = e.traits.Cold
+	}
+	return publishKey{
+		host: e.host, price: e.price,
+		open:  e.zoneIn && !e.host.Leaving && !now.Before(e.breaker.until),
+		limit: limit, until: until, capacity: capacity,
+		cold: e.cold, load: e.load, report: e.report, set: true,
+	}
+}
+
+func (k publishKey) upstream(prefixes map[uint64]struct{}) *control.Upstream {
+	return &control.Upstream{
+		ID: k.host.ID, Address: k.host.Address, Zone: k.host.Zone, Class: k.host.Class,
+		Service: k.host.Service, Version: k.host.Version,
+		Open: k.open, Limit: k.limit, LimitUntil: k.until, Capacity: k.capacity,
+		Cold: k.cold, Load: k.load, LoadSeen: k.report, Price: k.price, Prefixes: prefixes,
+	}
+}
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -1,8 +1,10 @@
-// Package upstreams keeps the listed upstreams and the limits under which this
-// host may use each.
+// Package upstreams keeps the upstreams of this host's region: which of them
+// this host may send to and under what limits, and the limits over all hosts
+// of those upstreams that it keeps.
 package upstreams
 
 import (
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -15,46 +17,140 @@
 
 // Machine is the control state of the upstreams.
 type Machine struct {
+	self     control.Self
 	document *document.Document
 	listed   []hostlist.Host
-	members  int
+	// live holds the live entry hosts; true marks those that may keep upstreams.
+	live map[string]bool
+	// entries holds the upstreams to which this host may send, ordered by service.
+	entries map[string]*entry
+	ordered []*entry
+	// waiting counts the waiting requests at this host by service and version.
+	waiting   map[string]map[string]int
+	baselines map[control.RouteKey]*baseline
+	changed   bool
+	published map[string][]*control.Upstream
 }
 
-var _ control.Machine = (*Machine)(nil)
+var (
+	_ control.Machine    = (*Machine)(nil)
+	_ kernel.Provisioner = (*Machine)(nil)
+)
 
 // ModuleInfo implements kernel.Module.
 func (*Machine) ModuleInfo() kernel.Info {
 	return kernel.Info{ID: "control.upstreams", New: func() kernel.Module { return new(Machine) }}
 }
 
+// Provision implements kernel.Provisioner.
+func (m *Machine) Provision(ctx *kernel.Context) error {
+	m.Init(ctx.Self)
+	return nil
+}
+
+// Init prepares a machine for a host.
+func (m *Machine) Init(self control.Self) {
+	m.self = self
+	m.live = map[string]bool{self.ID: true}
+	m.entries = map[string]*entry{}
+	m.waiting = map[string]map[string]int{}
+	m.baselines = map[control.RouteKey]*baseline{}
+}
+
 // Step implements control.Machine.
-func (m *Machine) Step(_ time.Time, in control.Input) []control.Output {
+func (m *Machine) Step(now time.Time, in control.Input) []control.Output {
 	switch in := in.(type) {
+	case control.Tick:
+		return m.tick(now)
 	case control.Configured:
 		m.document = in.Document
+		m.rebuild(now)
 	case control.HostsListed:
-		m.listed = in.List.Hosts
+		if !slices.Equal(m.listed, in.List.Hosts) {
+			m.listed = in.List.Hosts
+			m.rebuild(now)
+		}
 	case control.MembersChanged:
-		m.members = len(in.Hosts)
+		m.membersChanged(now, in.Hosts)
+	case control.Demand:
+		return m.demand(now, in)
+	case control.AttemptEnded:
+		m.attemptEnded(now, in)
+	case control.LoadReported:
+		m.loadReported(now, in)
+	case control.CacheChanged:
+		m.cacheChanged(in)
+	case control.Heard:
+		return m.heard(now, in)
 	}
 	return nil
 }
 
-// Publish implements control.Machine.
-func (m *Machine) Publish(_ time.Time, next *control.Snapshot) {
-	if m.document == nil {
-		return
+func (m *Machine) membersChanged(now time.Time, hosts []control.EntryHost) {
+	live := map[string]bool{m.self.ID: true}
+	for _, host := range hosts {
+		live[host.ID] = !host.Leaving
 	}
-	for _, host := range m.listed {
-		service := m.document.Service(host.Service)
-		if host.Role != hostlist.RoleUpstream || service == nil {
+	if !mapsEqual(live, m.live) {
+		m.live = live
+		m.rebuild(now)
+	}
+}
+
+func mapsEqual(a, b map[string]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key, value := range a {
+		if other, found := b[key]; !found || other != value {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) heard(now time.Time, in control.Heard) []control.Output {
+	if want := in.Message.GetWant(); want != nil {
+		return m.wanted(now, in.From, want)
+	}
+	if grant := in.Message.GetGrant(); grant != nil {
+		m.granted(now, in.From, grant)
+	}
+	return nil
+}
+
+// demand takes what waits and runs at this host, and asks for more where all
+// that may be sent is in use.
+func (m *Machine) demand(now time.Time, in control.Demand) []control.Output {
+	m.waiting[in.Service] = in.Waiting
+	waits := false
+	for _, n := range in.Waiting {
+		waits = waits || n > 0
+	}
+	var outs []control.Output
+	for _, e := range m.ordered {
+		if e.host.Service != in.Service {
 			continue
 		}
-		next.Upstreams[host.Service] = append(next.Upstreams[host.Service], &control.Upstream{
-			ID: host.ID, Address: host.Address, Zone: host.Zone, Class: host.Class,
-			Service: host.Service, Version: host.Version,
-			Open:  !host.Leaving && control.ServingZone(m.document, host.Zone),
-			Limit: max(1, service.Upstream.MaxInFlight/max(1, m.members)),
-		})
+		e.inFlight = in.InFlight[e.host.ID]
+		if waits && e.mayAskEarly(now) {
+			outs = append(outs, m.ask(now, e)...)
+		}
+	}
+	return outs
+}
+
+// tick asks for the credits that are due and polls the kept upstreams.
+func (m *Machine) tick(now time.Time) []control.Output {
+	m.changed = true
+	var outs []control.Output
+	for _, e := range m.ordered {
+		if now.Sub(e.holder.LastSent()) >= wantInterval {
+			outs = append(outs, m.ask(now, e)...)
+		}
+		if e.pool != nil && e.kind == document.KindEngine && now.Sub(e.polled) >= pollInterval {
+			outs = append(outs, e.poll(now))
+		}
 	}
+	return outs
 }
--- /dev/null
+++ b/internal/control/upstreams/upstreams_test.go
@@ -0,0 +1,128 @@
+package upstreams
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/deploy"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+	"github.com/marigoldmux/marigoldmux/internal/upstream"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
+)
+
+var start = time.Unix(1000, 0)
+
+const tick = 200 * time.Millisecond
+
+// lone returns the machine of a deployment with one entry host.
+func lone(t *testing.T) (*Machine, *document.Document) {
+	t.Helper()
+	config, err := deploy.Config("fundacion")
+	require.NoError(t, err)
+	doc, err := document.Parse(config)
+	require.NoError(t, err)
+	m := &Machine{}
+	m.Init(control.Self{ID: "entry-0", Zone: "gt-a", Region: "gt-central"})
+	m.Step(start, control.Configured{Document: doc})
+	m.Step(start, control.HostsListed{List: hostlist.List{Hosts: listed(doc)}})
+	return m, doc
+}
+
+func listed(doc *document.Document) []hostlist.Host {
+	var hosts []hostlist.Host
+	for i := range 12 {
+		hosts = append(hosts, hostlist.Host{
+			ID: fmt.Sprint("assistant-", i), Role: hostlist.RoleUpstream, Class: document.Reclaimable,
+			Zone: doc.AvailabilityZones[i%4].Name, Service: "assistant", Version: "v1",
+		})
+	}
+	return hosts
+}
+
+// run ticks a machine and answers its polls with idle engines.
+func run(m *Machine, now time.Time, duration time.Duration) time.Time {
+	for end := now.Add(duration); now.Before(end); now = now.Add(tick) {
+		for _, out := range m.Step(now, control.Tick{}) {
+			if poll, ok := out.(control.PollUpstream); ok {
+				m.Step(now, control.LoadReported{Upstream: poll.Upstream, Load: engine.Load{AsOf: now}})
+			}
+		}
+	}
+	return now
+}
+
+func published(m *Machine, now time.Time) map[string]*control.Upstream {
+	var next control.Snapshot
+	m.Publish(now, &next)
+	byID := map[string]*control.Upstream{}
+	for _, u := range next.Upstreams["assistant"] {
+		byID[u.ID] = u
+	}
+	return byID
+}
+
+func TestLoneHostGetsTheWholeColdLimit(t *testing.T) {
+	m, _ := lone(t)
+	now := run(m, start, 4*time.Second)
+	upstreams := published(m, now)
+	require.Len(t, upstreams, 12)
+	for _, u := range upstreams {
+		require.Equal(t, 2, u.LimitAt(now))
+		require.True(t, u.Cold)
+		require.Zero(t, u.LimitAt(now.Add(3*time.Second)), "credits expire")
+	}
+}
+
+func TestZoneOutClosesItsUpstreamsAtOnce(t *testing.T) {
+	m, doc := lone(t)
+	now := run(m, start, 4*time.Second)
+	changed := *doc
+	changed.AvailabilityZones = append([]document.AvailabilityZone(nil), doc.AvailabilityZones...)
+	changed.AvailabilityZones[1].State = document.ZoneOut
+	m.Step(now, control.Configured{Document: &changed})
+	for id, u := range published(m, now) {
+		require.Equal(t, u.Zone != "gt-b", u.Open, id)
+	}
+}
+
+func TestPublishKeepsWhatDidNotChange(t *testing.T) {
+	m, _ := lone(t)
+	now := run(m, start, 4*time.Second)
+	before := published(m, now)
+	m.Step(now, control.AttemptEnded{Upstream: "assistant-1", Service: "assistant", Took: time.Second})
+	after := published(m, now)
+	for id := range before {
+		require.Same(t, before[id], after[id])
+	}
+}
+
+func TestFailuresInARowCloseAnUpstreamHere(t *testing.T) {
+	m, _ := lone(t)
+	now := run(m, start, 4*time.Second)
+	failure := &upstream.Failure{Kind: upstream.NotSent, Err: errors.New("no route")}
+	for range tripFailures {
+		m.Step(now, control.AttemptEnded{Upstream: "assistant-3", Service: "assistant", Failure: failure})
+	}
+	require.False(t, published(m, now)["assistant-3"].Open)
+	require.True(t, published(m, now)["assistant-4"].Open)
+	now = run(m, now, tripTime+tick)
+	require.True(t, published(m, now)["assistant-3"].Open)
+}
+
+func TestSilentUpstreamGetsNothing(t *testing.T) {
+	m, _ := lone(t)
+	now := run(m, start, 4*time.Second)
+	for range 2 {
+		m.Step(now, control.LoadReported{Upstream: "assistant-5", Err: errors.New("timeout")})
+	}
+	now = now.Add(wantInterval)
+	m.Step(now, control.Tick{})
+	require.Zero(t, published(m, now)["assistant-5"].LimitAt(now))
+	require.Equal(t, 2, published(m, now)["assistant-6"].LimitAt(now))
+}
--- /dev/null
+++ b/internal/credit/credit_test.go
@@ -0,0 +1,284 @@
+package credit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/marigoldmux/marigoldmux/internal/testseed"
+)
+
+const (
+	hosts     = 9
+	step      = 50 * time.Millisecond
+	reportLag = time.Second
+	// wantInterval is the time between two wants of a host.
+	wantInterval = 500 * time.Millisecond
+)
+
+// trial runs hosts that each send to one upstream all that their credits allow,
+// while the network splits them, loses and delays their messages and pauses them.
+type trial struct {
+	rand     *rand.Rand
+	now      time.Time
+	level    int
+	holders  [hosts]*Holder
+	pools    [hosts]*Pool
+	view     [hosts]int
+	paused   [hosts]time.Time
+	running  [hosts][]time.Time
+	messages []message
+	history  []int
+	longest  time.Duration
+	// calm is the number of steps between two disturbances, on average.
+	calm int
+}
+
+type message struct {
+	at time.Time
+	to int
+	do func()
+}
+
+func newTrial(seed uint64, level int, longest time.Duration) *trial {
+	t := &trial{rand: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), level: level, longest: longest}
+	for i := range hosts {
+		t.holders[i] = &Holder{}
+	}
+	return t
+}
+
+// name gives keepers an identity as holders see it.
+func name(i int) string { return fmt.Sprint("h", i) }
+
+func (t *trial) send(from, to int, do func()) {
+	if t.view[from] != t.view[to] || t.rand.IntN(20) == 0 {
+		return
+	}
+	delay := time.Duration(t.rand.IntN(20)) * 10 * time.Millisecond
+	if t.rand.IntN(50) == 0 {
+		delay = time.Duration(t.rand.IntN(6000)) * time.Millisecond
+	}
+	t.messages = append(t.messages, message{t.now.Add(delay), to, do})
+}
+
+// keeper returns the host that a host takes for the keeper: the first in its view.
+func (t *trial) keeper(host int) int {
+	for i := range hosts {
+		if t.view[i] == t.view[host] {
+			return i
+		}
+	}
+	return host
+}
+
+func (t *trial) ask(i int) {
+	keeper := t.keeper(i)
+	if keeper != i {
+		t.pools[i] = nil
+	}
+	if !t.holders[i].Ask(t.now, name(keeper)) {
+		return
+	}
+	want := t.holders[i].Sent(t.now, Want{
+		Host: name(i), Members: hosts, Wanted: len(t.running[i]) + 2, InFlight: len(t.running[i]),
+	})
+	t.send(i, keeper, func() { t.answer(keeper, i, want) })
+}
+
+func (t *trial) answer(keeper, host int, want Want) {
+	if t.keeper(keeper) != keeper {
+		return
+	}
+	if t.pools[keeper] == nil {
+		t.pools[keeper] = NewPool("u", t.now, true)
+	}
+	pool := t.pools[keeper]
+	if back := len(t.history) - int(reportLag/step); back >= 0 {
+		pool.Report(t.now.Add(-reportLag), t.history[back])
+	}
+	pool.Take(t.now, want)
+	grant := pool.Answer(t.now, name(host), t.level)
+	t.send(keeper, host, func() { t.holders[host].Granted(t.now, name(keeper), grant, t.level) })
+}
+
+func (t *trial) total() int {
+	total := 0
+	for _, list := range t.running {
+		total += len(list)
+	}
+	return total
+}
+
+func (t *trial) tick() {
+	t.now = t.now.Add(step)
+	pending := t.messages
+	t.messages = nil
+	for _, m := range pending {
+		if m.at.After(t.now) || t.now.Before(t.paused[m.to]) {
+			t.messages = append(t.messages, m)
+			continue
+		}
+		m.do()
+	}
+	for i := range hosts {
+		kept := t.running[i][:0]
+		for _, end := range t.running[i] {
+			if end.After(t.now) {
+				kept = append(kept, end)
+			}
+		}
+		t.running[i] = kept
+		if t.now.Before(t.paused[i]) {
+			continue
+		}
+		if t.now.Sub(t.holders[i].LastSent()) >= wantInterval {
+			t.ask(i)
+		}
+		limit, _ := t.holders[i].Limit(t.now, hosts, t.level)
+		for len(t.running[i]) < limit {
+			t.running[i] = append(t.running[i], t.now.Add(time.Duration(t.rand.Int64N(int64(t.longest)))))
+		}
+	}
+	t.history = append(t.history, t.total())
+}
+
+func (t *trial) disturb() {
+	switch t.rand.IntN(5 * t.calm) {
+	case 0, 1:
+		for i := range hosts {
+			t.view[i] = t.rand.IntN(2)
+		}
+	case 2:
+		t.view = [hosts]int{}
+	case 3, 4:
+		t.paused[t.rand.IntN(hosts)] = t.now.Add(time.Duration(t.rand.IntN(8000)) * time.Millisecond)
+	}
+}
+
+// TestLimitHoldsOverAllHosts splits the hosts' views, loses and delays messages
+// and pauses hosts.
+func TestLimitHoldsOverAllHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		level := rapid.SampledFrom([]int{2, 4, 16, 32}).Draw(t, "level")
+		longest := rapid.SampledFrom([]time.Duration{200 * time.Millisecond, 2 * time.Second, 20 * time.Second}).Draw(t, "longest")
+		trial := newTrial(rapid.Uint64().Draw(t, "seed"), level, longest)
+		trial.calm = rapid.SampledFrom([]int{20, 100}).Draw(t, "calm")
+		for range 1200 {
+			trial.disturb()
+			trial.tick()
+			require.LessOrEqual(t, trial.total(), level)
+		}
+	})
+}
+
+func TestWholeLimitIsUsedInOneView(t *testing.T) {
+	for _, level := range []int{2, 16} {
+		trial := newTrial(7, level, 2*time.Second)
+		for range 100 {
+			trial.tick()
+		}
+		used := 0
+		for range 400 {
+			trial.tick()
+			used += trial.total()
+		}
+		require.Greater(t, float64(used)/400/float64(level), 0.8)
+	}
+}
+
+func TestCutOffHostKeepsItsOwnShare(t *testing.T) {
+	trial := newTrial(3, 18, time.Second)
+	for range 100 {
+		trial.tick()
+	}
+	trial.view[8] = 1
+	for range 200 {
+		trial.tick()
+	}
+	limit, _ := trial.holders[8].Limit(trial.now, hosts, 18)
+	require.Equal(t, 2, limit)
+}
+
+func TestHolderWithoutKeeperUsesItsOwnShareAfterBothLeases(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h Holder
+	require.True(t, h.Ask(now, "a"))
+	w := h.Sent(now, Want{})
+	require.True(t, h.Granted(now, "a", Grant{Amount: 5, Epoch: now.UnixMilli(), Answers: w.Sent}, 18))
+	h.Sent(now.Add(time.Second), Want{})
+	limit, until := h.Limit(now.Add(time.Second), hosts, 2)
+	require.Equal(t, 5, limit)
+	require.Equal(t, now.Add(GrantLease).UnixMilli(), until.UnixMilli())
+	limit, _ = h.Limit(now.Add(GrantLease), hosts, 2)
+	require.Zero(t, limit)
+	require.False(t, h.Ask(now.Add(GrantLease), "b"))
+	limit, _ = h.Limit(now.Add(ShareLease+GrantLease), hosts, 2)
+	require.Equal(t, 2, limit)
+	require.True(t, h.Ask(now.Add(ShareLease+GrantLease), "b"))
+}
+
+func TestDemandMovesCredits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := NewPool("u", now.Add(-GrantLease), true)
+	pool.Report(now, 0)
+	grants := map[int]int{}
+	for round := range 6 {
+		now = now.Add(500 * time.Millisecond)
+		for i := range 4 {
+			wanted := 0
+			if i == 2 {
+				wanted = 12
+			}
+			pool.Take(now, Want{Host: name(i), Members: 4, Wanted: wanted, Echo: now.UnixMilli() - 100, Sent: now.UnixMilli() + int64(round)})
+			grants[i] = pool.Answer(now, name(i), 16).Amount
+		}
+	}
+	require.GreaterOrEqual(t, grants[2], 12)
+	sum := 0
+	for _, amount := range grants {
+		sum += amount
+	}
+	require.LessOrEqual(t, sum, 16)
+	require.GreaterOrEqual(t, sum, 14)
+}
+
+func TestGrantThatComesLateIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h Holder
+	h.Ask(now, "a")
+	w := h.Sent(now, Want{})
+	late := now.Add(GrantLease + time.Second)
+	require.True(t, h.Granted(late, "a", Grant{Amount: 5, Epoch: late.UnixMilli(), Answers: w.Sent}, 18))
+	limit, _ := h.Limit(late, 20, 2)
+	require.Zero(t, limit)
+}
+
+func TestShareInALateWantIsNotCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := NewPool("u", now.Add(-GrantLease), true)
+	pool.Report(now, 0)
+	late := now.Add(ShareLease)
+	pool.Take(late, Want{Host: "h", Members: 1, Wanted: 4, Echo: now.UnixMilli(), Sent: now.UnixMilli()})
+	require.Zero(t, pool.Answer(late, "h", 16).Amount)
+	pool.Take(late, Want{Host: "h", Members: 1, Wanted: 4, Echo: late.UnixMilli(), Sent: late.UnixMilli()})
+	require.Equal(t, 16, pool.Answer(late, "h", 16).Amount)
+}
+
+func TestRequestsOfUnknownHostsCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := NewPool("u", now.Add(-GrantLease), true)
+	want := Want{Host: "h", Members: 2, Wanted: 9, Echo: now.UnixMilli(), Sent: now.UnixMilli()}
+	pool.Take(now, want)
+	require.Zero(t, pool.Answer(now, "h", 16).Amount, "no report yet")
+	pool.Report(now, 0)
+	require.Zero(t, pool.Answer(now.Add(-time.Millisecond), "h", 16).Amount, "grants of the last keeper")
+	require.Equal(t, 8, pool.Answer(now, "h", 16).Amount)
+	pool.Report(now, 13)
+	pool.Take(now, want)
+	require.Equal(t, 3, pool.Answer(now, "h", 16).Amount)
+}
--- /dev/null
+++ b/internal/credit/holder.go
@@ -0,0 +1,94 @@
+package credit
+
+import "time"
+
+// levelMemory is how long a holder trusts the level that a keeper named.
+const levelMemory = 10 * time.Second
+
+// Holder is what one host may send to one upstream.
+type Holder struct {
+	keeper string
+	// heard is when the newest grant of the keeper came; epoch is its Epoch.
+	heard time.Time
+	epoch int64
+	// amount may be used until until.
+	amount int
+	until  time.Time
+	// lentUntil is the end of the time in which the share, or a grant out of
+	// it, may be counted elsewhere.
+	lentUntil time.Time
+	sent      time.Time
+	level     int
+	levelAt   time.Time
+}
+
+// Ask reports whether the host may send a want to a keeper now; if so it turns
+// to that keeper. The host waits until its share is its own again before it
+// turns to another one.
+func (h *Holder) Ask(now time.Time, keeper string) bool {
+	if keeper == h.keeper {
+		return true
+	}
+	if now.Before(h.lentUntil) {
+		return false
+	}
+	h.keeper = keeper
+	h.epoch = 0
+	h.heard = time.Time{}
+	return true
+}
+
+// Sent returns the want to send now and counts the share as lent if the keeper
+// will count it.
+func (h *Holder) Sent(now time.Time, w Want) Want {
+	w.Sent = now.UnixMilli()
+	h.sent = now
+	if h.epoch != 0 && now.Sub(h.heard) < ShareLease {
+		w.Echo = h.epoch
+		h.lentUntil = h.heard.Add(ShareLease + GrantLease)
+	}
+	return w
+}
+
+// LastSent returns the time of the last want.
+func (h *Holder) LastSent() time.Time { return h.sent }
+
+// Keeper returns the keeper to which the host turned last.
+func (h *Holder) Keeper() string { return h.keeper }
+
+// Granted takes a grant and reports whether it is news.
+func (h *Holder) Granted(now time.Time, from string, g Grant, level int) bool {
+	if from != h.keeper || g.Epoch <= h.epoch {
+		return false
+	}
+	h.epoch, h.heard = g.Epoch, now
+	h.amount = g.Amount
+	h.until = time.UnixMilli(g.Answers).Add(GrantLease)
+	h.level, h.levelAt = level, now
+	return true
+}
+
+// Level returns the level that a keeper named lately, or 0.
+func (h *Holder) Level(now time.Time) int {
+	if h.levelAt.IsZero() || now.Sub(h.levelAt) >= levelMemory {
+		return 0
+	}
+	return h.level
+}
+
+// Limit returns what the host may have in flight and until when; the zero time
+// sets no end. Without a grant it is the host's own share once that is lent to
+// nobody.
+func (h *Holder) Limit(now time.Time, members, coldLevel int) (int, time.Time) {
+	if now.Before(h.until) {
+		return h.amount, h.until
+	}
+	if now.Before(h.lentUntil) {
+		return 0, time.Time{}
+	}
+	level := h.Level(now)
+	if level == 0 {
+		level = coldLevel
+	}
+	return level / max(1, members), time.Time{}
+}
