--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -33,15 +33,17 @@
 	return text[:end] + `, "teams": [{"name": "cakes", "tokenHash": "` + access.HashToken(teamToken) + `"}]}`
 }
 
-// withBed runs a test on a bed with one operator.
-func withBed(t *testing.T, run func(t *testing.T, bed *testbed.Bed)) {
+// withBed runs a test on three hosts with one operator.
+func withBed(t *testing.T, run func(t *testing.T, bed *testbed.Bed)) { withBedOf(t, 3, run) }
+
+func withBedOf(t *testing.T, hosts int, run func(t *testing.T, bed *testbed.Bed)) {
 	synctest.Test(t, func(t *testing.T) {
 		options, err := json.Marshal(admin.Module{Operators: []access.Account{
 			{Name: "ana", Role: access.RoleOperator, TokenHash: access.HashToken(operatorToken)},
 		}})
 		require.NoError(t, err)
 		bed := testbed.Start(t, testbed.Options{
-			Config: []byte(configText(t)), Hosts: 3, Seed: 1,
+			Config: []byte(configText(t)), Hosts: hosts, Seed: 1,
 			Engine:  standin.EngineOptions{Between: time.Millisecond},
 			Modules: map[string]json.RawMessage{"http.admin": options},
 		})
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -81,6 +81,8 @@
 	mu      sync.Mutex
 	dead    bool
 	resumed chan struct{}
+	// logOut makes the log service unreachable from this host.
+	logOut bool
 }
 
 // Start starts a bed and returns when all hosts have the configuration in
@@ -265,6 +267,19 @@
 	}
 }
 
+// SetLogOut cuts this host off from the log service, or mends the link.
+func (n *Node) SetLogOut(out bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.logOut = out
+}
+
+func (n *Node) lacksLog() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.logOut
+}
+
 // gate waits while the host is paused. A dead host's calls fail.
 func (n *Node) gate(ctx context.Context) error {
 	n.mu.Lock()
@@ -301,17 +316,21 @@
 type gatedLog struct{ n *Node }
 
 func (l *gatedLog) Append(ctx context.Context, stream, id string, data []byte) (int64, error) {
-	if l.n.gate(ctx) != nil {
+	if l.n.gate(ctx) != nil || l.n.lacksLog() {
 		return 0, logsvc.ErrUnavailable
 	}
 	return l.n.bed.Log.Append(ctx, stream, id, data)
 }
 
 func (l *gatedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error) {
-	if l.n.gate(ctx) != nil {
+	if l.n.gate(ctx) != nil || l.n.lacksLog() {
+		return logsvc.Page{}, logsvc.ErrUnavailable
+	}
+	page, err := l.n.bed.Log.Read(ctx, stream, from, limit, wait)
+	if l.n.lacksLog() {
 		return logsvc.Page{}, logsvc.ErrUnavailable
 	}
-	return l.n.bed.Log.Read(ctx, stream, from, limit, wait)
+	return page, err
 }
 
 // dialer makes the clients of one host.
