--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,6 +18,11 @@
 func Register() {
 	subcommands.Register(&serveCommand{}, "running")
 	subcommands.Register(&devCommand{}, "running")
+	subcommands.Register(&configCommand{}, "administrating")
+	subcommands.Register(&zoneCommand{}, "administrating")
+	subcommands.Register(&statusCommand{}, "administrating")
+	subcommands.Register(&rolloutsCommand{}, "administrating")
+	subcommands.Register(&reportCommand{}, "administrating")
 	subcommands.Register(&validateCommand{}, "checking")
 	subcommands.Register(&versionCommand{}, "checking")
 }
