--- /dev/null
+++ b/internal/cli/report_test.go
@@ -0,0 +1,163 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/deploy"
+	"github.com/marigoldmux/marigoldmux/internal/dev"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/entry"
+	"github.com/marigoldmux/marigoldmux/internal/event"
+	_ "github.com/marigoldmux/marigoldmux/internal/modules"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
+	"github.com/marigoldmux/marigoldmux/internal/standin"
+)
+
+const (
+	reportDeadline = time.Minute
+	reportRequests = 40
+	reportWorkers  = 10
+	badSlowdown    = 12
+)
+
+// startDev runs a dev system in which half the traffic goes to version v2.
+func startDev(t *testing.T) *dev.System {
+	src, err := deploy.Config("chomkaew")
+	require.NoError(t, err)
+	text := strings.Replace(string(src), `"versions": [{"name": "v1", "goal": 1}]`,
+		`"versions": [{"name": "v1", "goal": 0.5}, {"name": "v2", "goal": 0.5}]`, 1)
+	system, err := dev.Start(dev.Options{Config: []byte(text), Hosts: 3, Events: event.Discard(), Seed: 1})
+	require.NoError(t, err)
+	t.Cleanup(system.Close)
+	for _, id := range []string{"advice-new-0", "advice-new-1"} {
+		require.NoError(t, system.Cloud.Start(context.Background(), cloud.StartRequest{
+			ID: id, Service: "advice", Version: "v2", Zone: "bkk-a", Class: document.Reclaimable,
+		}))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportDeadline)
+	defer cancel()
+	require.NoError(t, system.AwaitReady(ctx))
+	for !sees(system, "advice-new-0") || !sees(system, "advice-new-1") {
+		require.NoError(t, ctx.Err(), "the new upstreams were not listed")
+		time.Sleep(20 * time.Millisecond)
+	}
+	return system
+}
+
+func sees(system *dev.System, id string) bool {
+	for _, h := range system.Hosts {
+		if u := h.Loop().Snapshot().Upstream(id); u == nil || !u.Open {
+			return false
+		}
+	}
+	return true
+}
+
+// ask is called from goroutines, where only assert may be used.
+func ask(t *testing.T, system *dev.System, index int) {
+	body, err := json.Marshal(entry.EngineBody{Prompt: "which cake travels well", MaxTokens: 4})
+	if !assert.NoError(t, err) {
+		return
+	}
+	url := "http://" + system.Hosts[index%len(system.Hosts)].Self().Address + "/v1/services/advice/routes/menu"
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(body))
+	if !assert.NoError(t, err) {
+		return
+	}
+	req.Header.Set(entry.HeaderCustomer, "web-chat")
+	resp, err := http.DefaultClient.Do(req)
+	if !assert.NoError(t, err) {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if !assert.NoError(t, err) {
+		return
+	}
+}
+
+// output runs a command and returns what it prints on standard output.
+func output(t *testing.T, command subcommands.Command, args ...string) (string, subcommands.ExitStatus) {
+	path := filepath.Join(t.TempDir(), "stdout")
+	file, err := os.Create(path)
+	require.NoError(t, err)
+	stdout := os.Stdout
+	os.Stdout = file
+	defer func() { os.Stdout = stdout }()
+	flags := flag.NewFlagSet(command.Name(), flag.ContinueOnError)
+	command.SetFlags(flags)
+	require.NoError(t, flags.Parse(args))
+	code := command.Execute(t.Context(), flags)
+	require.NoError(t, file.Close())
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return string(data), code
+}
+
+func TestReportNamesTheBadVersion(t *testing.T) {
+	system := startDev(t)
+	for id, engine := range system.Engines {
+		if strings.HasPrefix(id, "advice-new") {
+			engine.SetFault(standin.EngineFault{Slowdown: badSlowdown})
+		}
+	}
+	var work sync.WaitGroup
+	for worker := range reportWorkers {
+		work.Go(func() {
+			for range reportRequests / reportWorkers {
+				ask(t, system, worker)
+			}
+		})
+	}
+	work.Wait()
+	text, code := output(t, &reportCommand{}, "-address", system.Hosts[1].Self().Address)
+	require.Equal(t, subcommands.ExitSuccess, code)
+	require.Contains(t, text, "from 3 hosts")
+	require.Contains(t, text, "advice/menu burned by version v2", text)
+	t.Log(text)
+}
+
+func TestCommandsChangeTheConfiguration(t *testing.T) {
+	system := startDev(t)
+	address := system.Hosts[0].Self().Address
+	_, code := output(t, &zoneCommand{}, "-address", address, "out", "bkk-b")
+	require.Equal(t, subcommands.ExitSuccess, code)
+	text, code := output(t, &configCommand{}, "-address", address, "get")
+	require.Equal(t, subcommands.ExitSuccess, code)
+	doc, err := document.Parse([]byte(text))
+	require.NoError(t, err)
+	require.Equal(t, document.ZoneOut, doc.Zone("bkk-b").State)
+
+	file := filepath.Join(t.TempDir(), "config.jsonc")
+	write := func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	write(text)
+	_, code = output(t, &configCommand{}, "-address", address, "diff", file)
+	require.Equal(t, subcommands.ExitSuccess, code)
+	write(strings.Replace(text, `"state": "out"`, `"state": "gone"`, 1))
+	_, code = output(t, &configCommand{}, "-address", address, "put", file)
+	require.Equal(t, exitFaults, code)
+	write(strings.Replace(text, `"state": "out"`, `"state": "in"`, 1))
+	_, code = output(t, &configCommand{}, "-address", address, "-base", "0", "put", file)
+	require.Equal(t, exitLostRace, code)
+	system.Log.SetDown(true)
+	_, code = output(t, &configCommand{}, "-address", address, "put", file)
+	require.Equal(t, exitNotAccepted, code)
+	system.Log.SetDown(false)
+	_, code = output(t, &configCommand{}, "-address", address, "put", file)
+	require.Equal(t, subcommands.ExitSuccess, code)
+}
