--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -205,6 +205,19 @@
 	}
 }
 
+// Living returns the entry hosts that were not killed.
+func (b *Bed) Living() []*Node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var living []*Node
+	for _, n := range b.Nodes {
+		if !n.isDead() {
+			living = append(living, n)
+		}
+	}
+	return living
+}
+
 // Cut breaks or mends the link between two entry hosts, both ways.
 func (b *Bed) Cut(from, to string, cut bool) {
 	b.mu.Lock()
