Measure what control costs a host as a deployment grows

The command capacity drives the control state machines of whole deployments with a stepped clock and prints bytes, calls, processor time and memory a host, a fit over the sizes and its error.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,6 +25,7 @@
 	subcommands.Register(&reportCommand{}, "administrating")
 	subcommands.Register(&validateCommand{}, "checking")
 	subcommands.Register(&versionCommand{}, "checking")
+	subcommands.Register(&capacityCommand{}, "measuring")
 }
 
 // fail prints an error and returns the exit code for a failure.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -142,17 +142,22 @@
 }
 
 func (l *Loop) publish(now time.Time) {
+	l.snapshot.Store(NewSnapshot(now, l.self, l.machines))
+}
+
+// NewSnapshot returns a snapshot of machines at a time.
+func NewSnapshot(now time.Time, self Self, machines []Machine) *Snapshot {
 	next := &Snapshot{
 		At:        now,
-		Self:      l.self,
+		Self:      self,
 		Hosts:     map[string]EntryHost{},
 		Upstreams: map[string][]*Upstream{},
 		Shares:    map[RouteKey][]VersionShare{},
 		Holds:     map[uint64]time.Time{},
 		InForce:   map[string]int64{},
 	}
-	for _, m := range l.machines {
+	for _, m := range machines {
 		m.Publish(now, next)
 	}
-	l.snapshot.Store(next)
+	return next
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -164,6 +164,24 @@
 	return parsed.Decode(m).Err()
 }
 
+// NewMachines makes and prepares the registered modules that are parts of the
+// control state, without the rest of a host.
+func NewMachines(ctx *Context) ([]control.Machine, error) {
+	var machines []control.Machine
+	for _, info := range Modules() {
+		m := info.New()
+		machine, ok := m.(control.Machine)
+		if !ok {
+			continue
+		}
+		if err := prepare(ctx, info.ID, m); err != nil {
+			return nil, err
+		}
+		machines = append(machines, machine)
+	}
+	return machines, nil
+}
+
 // Machines returns the modules that are parts of the control state.
 func (a *App) Machines() []control.Machine {
 	var machines []control.Machine
