--- a/internal/control/rollout/decide.go
+++ b/internal/control/rollout/decide.go
@@ -9,7 +9,7 @@
 
 // ladder holds the shares of the goal at each step. The last leaves the old
 // version enough traffic to be compared with.
-var ladder = [...]float64{0, 0.01, 0.03, 0.1, 0.3, 0.6, 0.9}
+var ladder = [...]float64{0, 0.01, 0.03, 0.1, 0.25, 0.5, 0.75}
 
 const (
 	lastStep = len(ladder) - 1
@@ -17,7 +17,10 @@
 	// services begin there to gather evidence in time.
 	maxFirstStep = 3
 	// wantTrials is the number of attempts that a step should see.
-	wantTrials = 150
+	wantTrials = 60
+	// measureTime is how long the service's rate is measured before the first
+	// step.
+	measureTime = 10 * time.Second
 	// minDwell is the least time on a step.
 	minDwell = 5 * time.Second
 	// lastWindow is the share of the time from begin to end that is kept for
@@ -31,10 +34,8 @@
 	decisionMargin = 2 * time.Second
 )
 
-// The reasons for which a version is taken back, besides what a test shows.
-const (
-	reasonNotProved = "not proved by the set time"
-)
+// ReasonNotProved is why a version is taken back that no test showed to be bad.
+const ReasonNotProved = "not proved by the set time"
 
 // proposal is a change of a status to be put into the log.
 type proposal struct {
@@ -50,8 +51,10 @@
 	shown string
 	// proved tells that the step's evidence is complete.
 	proved bool
-	// rate is the number of the service's attempts a second.
-	rate float64
+	// rate is the number of the service's attempts a second, measured over a
+	// time.
+	rate     float64
+	measured time.Duration
 	// open tells that the version has upstreams that may get work; load is
 	// the share of their slots in use.
 	open bool
@@ -73,8 +76,8 @@
 	case status.Step == lastStep && s.proved && left > 0 && now.Sub(status.Stepped) >= dwell(status):
 		return &proposal{phase: control.RolloutDone}
 	case left <= min(decisionMargin, status.Move.By.Sub(status.Began)/10):
-		return &proposal{phase: control.RolloutTakenBack, reason: reasonNotProved}
-	case status.Step == 0 && s.open:
+		return &proposal{phase: control.RolloutTakenBack, reason: ReasonNotProved}
+	case status.Step == 0 && s.open && s.measured >= min(measureTime, left/10):
 		return &proposal{phase: control.RolloutMoving, to: firstStep(left, s.rate*status.Move.Goal)}
 	case status.Step > 0 && status.Step < lastStep && s.open && s.proved && now.Sub(status.Stepped) >= dwell(status) && !s.crowded():
 		return &proposal{phase: control.RolloutMoving, to: status.Step + 1}
--- a/internal/control/rollout/evidence.go
+++ b/internal/control/rollout/evidence.go
@@ -16,21 +16,20 @@
 	// coldMargin is the same for attempts at upstreams in cold start, which
 	// may fail for want of warmth.
 	coldMargin = 0.3
-	// failureBound and lateBound are the differences that a step's proof
-	// must rule out.
+	// failureBound and lateBound are the differences that the proof of a step
+	// must rule out; on each route the estimated difference must be below.
 	failureBound = 0.05
 	lateBound    = 0.15
 	// falseAlarms is the chance that a version that is not bad is taken back
 	// in the whole of its move, over all routes and hosts.
 	falseAlarms = 0.002
-	// proofLevel is the evidence that proves a route at a step.
+	// proofLevel is the evidence that proves a step over all routes.
 	proofLevel = 20
-	// suspicion is the evidence against a version above which a route with
-	// few attempts holds a step up.
-	suspicion = 3
-	// fewTrials is the number of attempts on a step below which a route
-	// counts as quiet.
-	fewTrials = 60
+	// suspicion is the evidence against a version above which a route holds a
+	// step up.
+	suspicion = 10
+	// fewTrials is the number of attempts below which a route counts as quiet.
+	fewTrials = 40
 	// kinds is the number of tests of a route.
 	kinds = 3
 	// lostInterval is the time in which an upstream that breaks attempts off
@@ -59,10 +58,12 @@
 	o.coldFailed += other.coldFailed
 }
 
-// evidence is what is known of one move: the tests of each route.
+// evidence is what is known of one move: the tests of each route, and the
+// proof of the present step over all routes.
 type evidence struct {
 	move   Move
 	step   int
+	pool   proof
 	routes map[string]*routeEvidence
 	// lost holds when each upstream last counted as lost.
 	lost map[string]time.Time
@@ -72,27 +73,46 @@
 }
 
 type routeEvidence struct {
-	pending     arms
-	failures    *sequential.Detector
-	lateness    *sequential.Detector
-	cold        *sequential.Detector
-	failureGood *sequential.Proof
-	lateGood    *sequential.Proof
+	pending  arms
+	failures *sequential.Detector
+	lateness *sequential.Detector
+	cold     *sequential.Detector
+	// moreFailures and moreLate estimate the differences of the versions.
+	moreFailures, moreLate sequential.Difference
+}
+
+// proof gathers evidence that a version is neither failing nor late.
+type proof struct {
+	failures, lateness *sequential.Proof
+}
+
+func newProof() proof {
+	return proof{failures: sequential.NewProof(failureBound), lateness: sequential.NewProof(lateBound)}
+}
+
+func (p proof) complete() bool {
+	return finite(p.failures.Evidence()) >= proofLevel && finite(p.lateness.Evidence()) >= proofLevel
+}
+
+func (p proof) add(failures, lateness sequential.Block) {
+	p.failures.Add(failures)
+	p.lateness.Add(lateness)
 }
 
 func newEvidence(move Move, now time.Time) *evidence {
-	return &evidence{move: move, routes: map[string]*routeEvidence{}, lost: map[string]time.Time{}, began: now}
+	return &evidence{
+		move: move, pool: newProof(), routes: map[string]*routeEvidence{},
+		lost: map[string]time.Time{}, began: now,
+	}
 }
 
 func (e *evidence) route(name string) *routeEvidence {
 	r := e.routes[name]
 	if r == nil {
 		r = &routeEvidence{
-			failures:    sequential.NewDetector(failureMargin),
-			lateness:    sequential.NewDetector(lateMargin),
-			cold:        sequential.NewDetector(coldMargin),
-			failureGood: sequential.NewProof(failureBound),
-			lateGood:    sequential.NewProof(lateBound),
+			failures: sequential.NewDetector(failureMargin),
+			lateness: sequential.NewDetector(lateMargin),
+			cold:     sequential.NewDetector(coldMargin),
 		}
 		e.routes[name] = r
 	}
@@ -120,37 +140,48 @@
 	e.add(route, candidate, outcome{failed: 1})
 }
 
-// at starts the proofs anew when the move has come to another step.
+// at starts the step's proof anew when the move has come to another step.
 func (e *evidence) at(step int) {
 	if e.step == step {
 		return
 	}
+	e.flush()
 	e.step = step
-	for _, r := range e.routes {
-		r.flush()
-		r.failureGood.Restart()
-		r.lateGood.Restart()
-	}
+	e.pool.failures.Restart()
+	e.pool.lateness.Restart()
 }
 
 // flush makes a block of what is pending on each route where both versions
 // had attempts.
 func (e *evidence) flush() {
+	var poolFailures, poolLateness sequential.Block
 	for _, r := range e.routes {
-		if r.pending.control.trials() > 0 && r.pending.candidate.trials()+r.pending.candidate.cold > 0 {
-			r.flush()
+		if r.pending.control.trials() == 0 || r.pending.candidate.trials()+r.pending.candidate.cold == 0 {
+			continue
 		}
+		failures, lateness := r.flush()
+		addBlock(&poolFailures, failures)
+		addBlock(&poolLateness, lateness)
+	}
+	if poolFailures.Control.Trials > 0 {
+		e.pool.add(poolFailures, poolLateness)
 	}
 }
 
-func (r *routeEvidence) flush() {
+func addBlock(sum *sequential.Block, block sequential.Block) {
+	sum.Control.Add(block.Control)
+	sum.Candidate.Add(block.Candidate)
+}
+
+// flush adds what is pending to the tests and returns it as blocks.
+func (r *routeEvidence) flush() (failures, lateness sequential.Block) {
 	a, b := r.pending.control, r.pending.candidate
 	r.pending = arms{}
-	failures := sequential.Block{
+	failures = sequential.Block{
 		Control:   sequential.Counts{Trials: a.trials(), Bad: a.failed},
 		Candidate: sequential.Counts{Trials: b.trials(), Bad: b.failed},
 	}
-	lateness := sequential.Block{
+	lateness = sequential.Block{
 		Control:   sequential.Counts{Trials: a.good + a.late, Bad: a.late},
 		Candidate: sequential.Counts{Trials: b.good + b.late, Bad: b.late},
 	}
@@ -159,9 +190,10 @@
 		Candidate: sequential.Counts{Trials: b.cold, Bad: b.coldFailed},
 	})
 	r.failures.Add(failures)
-	r.failureGood.Add(failures)
 	r.lateness.Add(lateness)
-	r.lateGood.Add(lateness)
+	r.moreFailures.Add(failures)
+	r.moreLate.Add(lateness)
+	return failures, lateness
 }
 
 // shown returns why the version is bad, or an empty string. Watchers is the
@@ -183,28 +215,27 @@
 	return ""
 }
 
-// proved reports whether the present step is proved: at least one route is,
-// and each other one is too or is quiet without suspicion.
+// proved reports whether the move may go on from the present step: the step is
+// proved over all routes, and no route looks bad since the move began.
 func (e *evidence) proved() bool {
-	any := false
+	if !e.pool.complete() {
+		return false
+	}
 	for _, r := range e.routes {
-		if r.proved() {
-			any = true
-			continue
-		}
-		if r.failureGood.Trials() >= fewTrials || r.suspicious() {
+		if r.suspicious() {
 			return false
 		}
 	}
-	return any
-}
-
-func (r *routeEvidence) proved() bool {
-	return finite(r.failureGood.Evidence()) >= proofLevel && finite(r.lateGood.Evidence()) >= proofLevel
+	return true
 }
 
+// suspicious reports whether a route holds the move up.
 func (r *routeEvidence) suspicious() bool {
-	return finite(r.failures.Evidence()) >= suspicion || finite(r.lateness.Evidence()) >= suspicion
+	if finite(r.failures.Evidence()) >= suspicion || finite(r.lateness.Evidence()) >= suspicion {
+		return true
+	}
+	return r.moreFailures.Trials() >= fewTrials &&
+		(r.moreFailures.Share() >= failureBound || r.moreLate.Share() >= lateBound)
 }
 
 // rate returns the attempts a second since the evidence began.
--- a/internal/control/rollout/exchange.go
+++ b/internal/control/rollout/exchange.go
@@ -61,7 +61,7 @@
 	outs := m.summarize(now, mv)
 	mv.own.flush()
 	mv.all.flush()
-	aggregates := m.aggregator(mv.ref) == m.self.ID
+	aggregates := mv.aggregator == m.self.ID
 	shown := mv.back
 	if shown == "" {
 		shown = mv.own.shown(len(m.members) + 1)
@@ -93,7 +93,7 @@
 		return nil
 	}
 	p := decide(now, situation{
-		status: status, shown: shown, proved: mv.all.proved(), rate: mv.all.rate(now),
+		status: status, shown: shown, proved: mv.all.proved(), rate: mv.all.rate(now), measured: now.Sub(mv.all.began),
 		open: m.open[mv.ref] > 0, load: m.load(mv.ref),
 	})
 	if p == nil {
--- a/internal/control/rollout/gather.go
+++ b/internal/control/rollout/gather.go
@@ -131,14 +131,13 @@
 	}
 	mv.tally.sent = now
 	var outs []control.Output
-	aggregator := m.aggregator(mv.ref)
 	for _, summary := range mv.summaries() {
-		if aggregator == m.self.ID {
+		if mv.aggregator == m.self.ID {
 			mv.collect(now, summary)
 			continue
 		}
 		message := &peerv1.Message{Body: &peerv1.Message_Attempts{Attempts: summary}}
-		outs = append(outs, control.Tell{To: aggregator, Message: message})
+		outs = append(outs, control.Tell{To: mv.aggregator, Message: message})
 	}
 	mv.tally.routes = nil
 	mv.tally.lost = nil
--- /dev/null
+++ b/internal/control/rollout/machines_test.go
@@ -0,0 +1,176 @@
+package rollout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/control/rollout"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+)
+
+const (
+	logDelay   = 200 * time.Millisecond
+	peerDelay  = 200 * time.Millisecond
+	peerLosses = 0.02
+)
+
+// machines runs the module's machines over a log and a network with delay,
+// losses and outages.
+type machines struct {
+	w        *world
+	rand     *rand.Rand
+	nodes    []*rollout.Machine
+	shares   []float64
+	rollouts []control.Rollout
+	log      []logsvc.Record
+	read     []int
+	up       bool
+	queue    []delivery
+	// cut holds the nodes that reach neither the log nor their peers.
+	cut map[int]bool
+}
+
+// delivery is an input on its way to a node.
+type delivery struct {
+	at   time.Time
+	node int
+	in   control.Input
+}
+
+func nodeID(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func newMachines(w *world) policy {
+	m := &machines{w: w, rand: rand.New(rand.NewPCG(uint64(w.severity*1e9), 3)), cut: map[int]bool{}}
+	for i := range entryHosts {
+		m.addNode(i)
+	}
+	m.step()
+	return m
+}
+
+func (m *machines) members() control.MembersChanged {
+	var changed control.MembersChanged
+	for i := range entryHosts {
+		changed.Hosts = append(changed.Hosts, control.EntryHost{ID: nodeID(i)})
+	}
+	return changed
+}
+
+func (m *machines) addNode(i int) {
+	node := &rollout.Machine{}
+	node.Init(control.Self{ID: nodeID(i), Incarnation: "a"})
+	m.nodes = append(m.nodes, node)
+	m.shares = append(m.shares, 0)
+	m.rollouts = append(m.rollouts, control.Rollout{})
+	m.read = append(m.read, 0)
+	m.give(i, control.Configured{Offset: 1, Document: m.w.document()})
+	m.give(i, m.members())
+	m.give(i, control.HostsListed{List: m.w.list()})
+}
+
+// give steps a node and sends its outputs on their way.
+func (m *machines) give(node int, in control.Input) {
+	for _, out := range m.nodes[node].Step(m.w.now, in) {
+		m.perform(node, out)
+	}
+}
+
+func (m *machines) perform(node int, out control.Output) {
+	switch out := out.(type) {
+	case control.Append:
+		if m.w.logDown() || m.cut[node] {
+			m.queue = append(m.queue, delivery{m.w.now, node, control.AppendFailed{Stream: out.Stream, ID: out.ID}})
+			return
+		}
+		m.log = append(m.log, logsvc.Record{
+			Offset: int64(len(m.log)), Time: m.w.now, ID: out.ID, Data: out.Data,
+		})
+	case control.Tell:
+		to := 0
+		_, _ = fmt.Sscanf(out.To, "entry-%d", &to)
+		if m.rand.Float64() < peerLosses || m.cut[node] || m.cut[to] {
+			return
+		}
+		in := control.Heard{From: nodeID(node), Incarnation: "a", Message: out.Message}
+		m.queue = append(m.queue, delivery{m.w.now.Add(peerDelay), to, in})
+	}
+}
+
+func (m *machines) tick(time.Time) { m.step() }
+
+func (m *machines) step() {
+	m.health()
+	due := m.queue
+	m.queue = nil
+	for _, d := range due {
+		if d.at.After(m.w.now) {
+			m.queue = append(m.queue, d)
+			continue
+		}
+		m.give(d.node, d.in)
+	}
+	for i := range m.nodes {
+		m.readLog(i)
+		m.give(i, control.Tick{})
+		m.publish(i)
+	}
+}
+
+func (m *machines) health() {
+	up := !m.w.logDown()
+	if up == m.up {
+		return
+	}
+	m.up = up
+	for i := range m.nodes {
+		if !m.cut[i] {
+			m.give(i, control.LogHealth{Up: up})
+		}
+	}
+}
+
+func (m *machines) readLog(node int) {
+	if m.w.logDown() || m.cut[node] {
+		return
+	}
+	for ; m.read[node] < len(m.log); m.read[node]++ {
+		rec := m.log[m.read[node]]
+		if m.w.now.Sub(rec.Time) < logDelay {
+			return
+		}
+		m.give(node, control.Record{Stream: logsvc.StreamRollout, Record: rec})
+	}
+}
+
+func (m *machines) publish(node int) {
+	next := &control.Snapshot{Shares: map[control.RouteKey][]control.VersionShare{}}
+	m.nodes[node].Publish(m.w.now, next)
+	for _, s := range next.Shares[control.RouteKey{Service: service, Route: routeNames[0]}] {
+		if s.Version == newVersion {
+			m.shares[node] = s.Share
+		}
+	}
+	m.rollouts[node] = next.Rollouts[0]
+}
+
+func (m *machines) share(host int, _ string) float64 { return m.shares[host] }
+
+func (m *machines) ended(_ time.Time, host int, a attempt) {
+	m.give(host, control.AttemptEnded{
+		Upstream: a.upstream, Service: service, Route: a.route, Version: a.version,
+		Failure: a.failure, Late: a.late, Cold: a.cold,
+	})
+}
+
+// phase returns the decision that all nodes have read.
+func (m *machines) phase() (done, back, alarm bool) {
+	done, back = true, true
+	for _, r := range m.rollouts {
+		done = done && r.Phase == control.RolloutDone
+		back = back && r.Phase == control.RolloutTakenBack
+		alarm = alarm || r.Reason != "" && r.Reason != rollout.ReasonNotProved
+	}
+	return done, back, alarm
+}
--- a/internal/control/rollout/rollout.go
+++ b/internal/control/rollout/rollout.go
@@ -53,6 +53,8 @@
 	// latter is filled at the aggregator only.
 	own, all *evidence
 	tally    tally
+	// aggregator is the ID of the host that gathers the evidence.
+	aggregator string
 	// back is why this host has taken the version back, empty if it has not.
 	back      string
 	backSince time.Time
@@ -98,6 +100,9 @@
 		m.configured(now, in)
 	case control.MembersChanged:
 		m.members = in.Hosts
+		for _, mv := range m.moves {
+			mv.aggregator = m.aggregator(mv.ref)
+		}
 	case control.HostsListed:
 		m.hostsListed(in.List)
 	case control.NoticesListed:
@@ -151,7 +156,7 @@
 			moves[ref] = &move{
 				ref: ref, move: wanted, config: in.Offset,
 				own: newEvidence(wanted, now), all: newEvidence(wanted, now),
-				tally: tally{}, seen: map[string]uint64{},
+				aggregator: m.aggregator(ref), seen: map[string]uint64{},
 			}
 		}
 	}
--- a/internal/sequential/proof.go
+++ b/internal/sequential/proof.go
@@ -2,6 +2,10 @@
 
 import "math"
 
+// worstLog is the logarithm below which the evidence of a Proof does not fall,
+// so that a disturbance does not rule a proof out for good.
+const worstLog = -5
+
 // Proof gathers evidence that a candidate's share of bad attempts is less than
 // a bound above the control's.
 type Proof struct {
@@ -26,7 +30,7 @@
 func (p *Proof) Add(block Block) {
 	if block.Control.Trials > 0 && block.Candidate.Trials > 0 {
 		base := p.past.share()
-		p.log += logE(block, base, base, p.bound)
+		p.log = max(worstLog, p.log+logE(block, base, base, p.bound))
 		p.trials += block.Candidate.Trials
 	}
 	p.past.add(block.Control)
--- a/internal/sequential/sequential.go
+++ b/internal/sequential/sequential.go
@@ -31,15 +31,18 @@
 
 const (
 	// priorTrials and priorBad smooth the estimate of the control's share.
-	priorTrials = 50
-	priorBad    = 0.5
+	priorTrials = 20
+	priorBad    = 0.2
+	// memory is the number of the control's attempts over which its share is
+	// estimated.
+	memory = 200
 	// smallestShare keeps shares away from 0 and 1.
 	smallestShare = 1e-4
 	// bisections is the number of halvings in the search for the closest null.
-	bisections = 40
+	bisections = 24
 )
 
-// control estimates the control's share from blocks that have passed.
+// control estimates the control's share from the latest blocks that have passed.
 type control struct {
 	trials, bad float64
 }
@@ -51,6 +54,10 @@
 func (c *control) add(counts Counts) {
 	c.trials += float64(counts.Trials)
 	c.bad += float64(counts.Bad)
+	if c.trials > memory {
+		c.bad *= memory / c.trials
+		c.trials = memory
+	}
 }
 
 func clamp(share float64) float64 {
--- a/internal/sequential/sequential_test.go
+++ b/internal/sequential/sequential_test.go
@@ -87,3 +87,22 @@
 	require.LessOrEqual(t, proved(0.06), runs/20)
 	require.Zero(t, proved(0.3))
 }
+
+func TestDifferenceIsNotMovedByADisturbanceAsTheSharesChange(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 3))
+	var d sequential.Difference
+	var naive sequential.Block
+	for i := range blocks {
+		share, control, candidate := 0.01, int64(18), int64(2)
+		if i >= blocks/2 {
+			share, control, candidate = 0.4, 2, 18
+		}
+		block := sequential.Block{Control: draw(r, control, share), Candidate: draw(r, candidate, share)}
+		d.Add(block)
+		naive.Control.Add(block.Control)
+		naive.Candidate.Add(block.Candidate)
+	}
+	ratio := func(c sequential.Counts) float64 { return float64(c.Bad) / float64(c.Trials) }
+	require.Greater(t, ratio(naive.Candidate)-ratio(naive.Control), 0.2, "the plain ratios mislead")
+	require.InDelta(t, 0, d.Share(), 0.05)
+}
