--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
 	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
@@ -29,30 +32,71 @@
 	return &peerv1.DeliverResponse{}, nil
 }
 
-// CallCost returns the processor time of one call between peers over loopback,
-// that of both ends and of the kernel included.
-func CallCost() (time.Duration, error) {
+// CallCost returns what one call between peers over loopback takes: the
+// processor time of both ends and of the kernel, and the bytes around the
+// message, both ways.
+func CallCost() (busy time.Duration, overhead int64, err error) {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(sink{}))
-	server := httptest.NewServer(mux)
+	server := httptest.NewUnstartedServer(mux)
+	counted := &countingListener{Listener: server.Listener}
+	server.Listener = counted
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
 	defer server.Close()
-	client := dial.NewHTTP().Peer(strings.TrimPrefix(server.URL, "http://"))
+	client := dial.NewHTTP().Peer(server.Listener.Addr().String())
 	req := &peerv1.DeliverRequest{From: hostName(0), Incarnation: "0123456789ab"}
 	gossip := &peerv1.Gossip{Sequence: 1}
 	for i := range gossipHosts {
 		gossip.Hosts = append(gossip.Hosts, &peerv1.HostState{Id: hostName(i), Incarnation: "0123456789ab", Counter: 1, ConfigOffset: 9})
 	}
 	req.Messages = []*peerv1.Message{{Body: &peerv1.Message_Gossip{Gossip: gossip}}}
-	var start time.Duration
-	for i := range callsWarm + callsMeasured {
-		if i == callsWarm {
-			start = processorTime()
+	for range callsWarm {
+		if _, err := client.Deliver(context.Background(), req); err != nil {
+			return 0, 0, err
 		}
+	}
+	start, bytes := processorTime(), counted.bytes.Load()
+	for range callsMeasured {
 		if _, err := client.Deliver(context.Background(), req); err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 	}
-	return (processorTime() - start) / callsMeasured, nil
+	busy = (processorTime() - start) / callsMeasured
+	overhead = (counted.bytes.Load()-bytes)/callsMeasured - int64(proto.Size(req))
+	return busy, overhead, nil
+}
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{Conn: conn, bytes: &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // processorTime returns the processor time of this process so far.
--- a/internal/capacity/fabric.go
+++ b/internal/capacity/fabric.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// callOverhead is the size of the HTTP headers of a call and its answer
+	// callOverhead is what a call and its answer have around the message
 	// between peers, in bytes.
-	callOverhead = 310
+	callOverhead = 74
 	// pollBytes is the size of a load report's call and answer, in bytes.
 	pollBytes = 420
 	// notModifiedBytes is the size of a read of a list that did not change.
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -51,7 +51,7 @@
 		}
 		samples = append(samples, sample)
 	}
-	call, err := capacity.CallCost()
+	call, overhead, err := capacity.CallCost()
 	if err != nil {
 		return fail(err)
 	}
@@ -64,7 +64,7 @@
 		samples = append(samples, sample)
 	}
 	printSamples(samples)
-	fmt.Printf("\na call between peers takes %v of processor time, both ends together\n", call)
+	fmt.Printf("\na call between peers takes %v of processor time, both ends together, and %d bytes around its message\n", call, overhead)
 	printFits(fits)
 	return subcommands.ExitSuccess
 }
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -23,6 +23,7 @@
 // HTTP makes clients that speak HTTP and keeps one of each kind an address.
 type HTTP struct {
 	client  *http.Client
+	peer    *http.Client
 	options []connect.ClientOption
 
 	mu      sync.Mutex
@@ -37,6 +38,7 @@
 func NewHTTP(options ...connect.ClientOption) *HTTP {
 	return &HTTP{
 		client:  httpjson.NewClient(),
+		peer:    httpjson.NewPeerClient(),
 		options: options,
 		engines: map[string]engine.Engine{},
 		plains:  map[string]plain.Service{},
@@ -57,7 +59,7 @@
 // Peer implements Dialer.
 func (d *HTTP) Peer(address string) peerv1connect.PeerServiceClient {
 	return cached(d, d.peers, address, func() peerv1connect.PeerServiceClient {
-		return peerv1connect.NewPeerServiceClient(d.client, "http://"+address, d.options...)
+		return peerv1connect.NewPeerServiceClient(d.peer, "http://"+address, d.options...)
 	})
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -219,7 +219,7 @@
 	if err := h.StartControl(); err != nil {
 		return err
 	}
-	h.server = &http.Server{Handler: h.echo, ReadHeaderTimeout: readHeaderTimeout}
+	h.server = &http.Server{Handler: h.echo, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols()}
 	h.goes(func() {
 		if err := h.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			h.deps.Events.Emit(eventStopFail, zap.Error(err))
@@ -228,6 +228,15 @@
 	return nil
 }
 
+// protocols returns what the listener speaks: HTTP/1.1 with callers, HTTP/2
+// without TLS with peers.
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // Stop ends the host gracefully: it takes no new requests and waits for the
 // accepted ones. It returns the context's error when they did not end in time.
 func (h *Host) Stop(ctx context.Context) error {
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -62,6 +62,16 @@
 // compressed answers.
 func NewCompressingClient() *http.Client { return newClient(true) }
 
+// NewPeerClient returns a client like NewClient that speaks HTTP/2 without TLS,
+// whose compressed headers keep small calls small.
+func NewPeerClient() *http.Client {
+	client := newClient(false)
+	transport := client.Transport.(*http.Transport)
+	transport.Protocols = new(http.Protocols)
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	return client
+}
+
 func newClient(compress bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
