--- a/internal/burn/text.go
+++ b/internal/burn/text.go
@@ -57,16 +57,27 @@
 
 // route prints the burners of the shortest window that has any.
 func (p *printer) route(route Route, windows []string) {
-	for w, burners := range route.Burners {
-		if len(burners) == 0 {
-			continue
-		}
+	described := route.Describe(windows)
+	if len(described) == 0 {
+		p.printf("%s/%s: no version, availability zone or upstream stands out\n", route.Service, route.Route)
+	}
+	for _, line := range described {
+		p.printf("%s\n", line)
+	}
+}
+
+// Describe returns a line for each burner of the shortest window that has any.
+func (r Route) Describe(windows []string) []string {
+	var lines []string
+	for w, burners := range r.Burners {
 		for _, b := range burners {
-			p.printf("%s/%s burned by %s\n", route.Service, route.Route, b.describe(windows[w]))
+			lines = append(lines, fmt.Sprintf("%s/%s burned by %s", r.Service, r.Route, b.describe(windows[w])))
+		}
+		if len(lines) > 0 {
+			break
 		}
-		return
 	}
-	p.printf("%s/%s: no version, availability zone or upstream stands out\n", route.Service, route.Route)
+	return lines
 }
 
 func (b Burner) describe(window string) string {
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "github.com/marigoldmux/marigoldmux/internal/admin"
+	_ "github.com/marigoldmux/marigoldmux/internal/console"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/config"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/listing"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/membership"
