--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -154,6 +154,8 @@
 	Service string
 	// Waiting counts by version, InFlight by the upstream's ID.
 	Waiting, InFlight map[string]int
+	// Urgent is the number of slots that all but the batch class need.
+	Urgent int
 }
 
 // HostStarted and the types below answer the outputs of the same subject.
--- a/internal/control/upstreams/credits.go
+++ b/internal/control/upstreams/credits.go
@@ -35,8 +35,9 @@
 		return nil
 	}
 	m.changed = true
+	wanted, urgent := m.wish(e)
 	want := e.holder.Sent(now, credit.Want{
-		Host: m.self.ID, Members: e.members, Wanted: m.wish(e), InFlight: e.inFlight,
+		Host: m.self.ID, Members: e.members, Wanted: wanted, Urgent: urgent, InFlight: e.inFlight,
 	})
 	evidence := e.evidence
 	e.evidence = slowstart.Evidence{}
@@ -45,7 +46,7 @@
 		return nil
 	}
 	message := &peerv1.CreditWant{
-		Upstream: e.host.ID, Wanted: int32(want.Wanted), InFlight: int32(want.InFlight),
+		Upstream: e.host.ID, Wanted: int32(want.Wanted), Urgent: int32(want.Urgent), InFlight: int32(want.InFlight),
 		Members: int32(want.Members), Echo: want.Echo, Sent: want.Sent,
 		Good: int32(evidence.Good), Slow: int32(evidence.Slow), Failed: int32(evidence.Failed),
 	}
@@ -55,22 +56,36 @@
 }
 
 // wish returns the number of requests that this host would like to have at an
-// upstream: those in flight and an equal part of those that wait.
-func (m *Machine) wish(e *entry) int {
+// upstream: those in flight and an equal part of those that wait. Urgent is an
+// equal part of the slots that urgent classes need.
+func (m *Machine) wish(e *entry) (wanted, urgent int) {
 	if !e.zoneIn || e.host.Leaving {
-		return 0
+		return 0, 0
 	}
-	waiting := m.waiting[e.host.Service][e.host.Version]
-	if waiting == 0 {
-		return e.inFlight
-	}
-	others := 0
+	place, others := 0, 0
 	for _, other := range m.ordered {
-		if other.host.Service == e.host.Service && other.host.Version == e.host.Version && other.zoneIn {
-			others++
+		if other.host.Service != e.host.Service || other.host.Version != e.host.Version || !other.zoneIn {
+			continue
 		}
+		if other == e {
+			place = others
+		}
+		others++
+	}
+	// Each host begins to deal at another upstream.
+	place = (place + m.offset) % max(1, others)
+	waiting := m.waiting[e.host.Service][e.host.Version]
+	urgent = part(m.urgent[e.host.Service], place, others)
+	return max(e.inFlight+part(waiting, place, others), urgent), urgent
+}
+
+// part returns what one of a number of places gets when a total is dealt out.
+func part(total, place, places int) int {
+	places = max(1, places)
+	if place < total%places {
+		return total/places + 1
 	}
-	return e.inFlight + (waiting+others-1)/max(1, others)
+	return total / places
 }
 
 // wanted answers a want as the keeper.
@@ -80,7 +95,8 @@
 		return nil
 	}
 	want := credit.Want{
-		Host: from, Members: int(w.GetMembers()), Wanted: int(w.GetWanted()), InFlight: int(w.GetInFlight()),
+		Host: from, Members: int(w.GetMembers()), InFlight: int(w.GetInFlight()),
+		Wanted: int(w.GetWanted()), Urgent: int(w.GetUrgent()),
 		Echo: w.GetEcho(), Sent: w.GetSent(),
 	}
 	evidence := slowstart.Evidence{Good: int(w.GetGood()), Slow: int(w.GetSlow()), Failed: int(w.GetFailed())}
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -7,12 +7,17 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 )
 
+// maxOffset bounds Machine.offset.
+const maxOffset = 1 << 16
+
 func init() { kernel.Register(&Machine{}) }
 
 // Machine is the control state of the upstreams.
@@ -25,8 +30,12 @@
 	// entries holds the upstreams to which this host may send, ordered by service.
 	entries map[string]*entry
 	ordered []*entry
-	// waiting counts the waiting requests at this host by service and version.
-	waiting   map[string]map[string]int
+	// waiting counts the waiting requests at this host by service and version,
+	// and urgent the slots that its urgent classes need, by service.
+	waiting map[string]map[string]int
+	urgent  map[string]int
+	// offset spreads the odd requests of hosts over the upstreams.
+	offset    int
 	baselines map[control.RouteKey]*baseline
 	changed   bool
 	published map[string][]*control.Upstream
@@ -54,6 +63,8 @@
 	m.live = map[string]bool{self.ID: true}
 	m.entries = map[string]*entry{}
 	m.waiting = map[string]map[string]int{}
+	m.urgent = map[string]int{}
+	m.offset = int(xxhash.Sum64String(self.ID) % maxOffset)
 	m.baselines = map[control.RouteKey]*baseline{}
 }
 
@@ -123,6 +134,7 @@
 // that may be sent is in use.
 func (m *Machine) demand(now time.Time, in control.Demand) []control.Output {
 	m.waiting[in.Service] = in.Waiting
+	m.urgent[in.Service] = in.Urgent
 	waits := false
 	for _, n := range in.Waiting {
 		waits = waits || n > 0
--- a/internal/credit/pool.go
+++ b/internal/credit/pool.go
@@ -33,6 +33,9 @@
 	tellAge = 1200 * time.Millisecond
 	// maxTold bounds the samples of what members told of.
 	maxTold = 64
+	// holdsBonus moves members that have a grant forward, so that odd requests
+	// don't change hands without need.
+	holdsBonus = 0.75
 	// roundingSlack keeps sums of equal shares from falling just below a whole number.
 	roundingSlack = 1e-9
 )
@@ -42,8 +45,9 @@
 	Host string
 	// Members is the number of hosts that own shares, as the sender knows it.
 	Members int
-	// Wanted counts requests in flight and waiting at the sender.
-	Wanted, InFlight int
+	// Wanted counts requests in flight and waiting at the sender. Urgent is
+	// the part that is served before what other hosts want beyond theirs.
+	Wanted, Urgent, InFlight int
 	// Echo is the Epoch of the newest grant that the sender got.
 	Echo int64
 	// Sent is the sender's clock, in milliseconds.
@@ -86,6 +90,7 @@
 	weight     uint64
 	owners     int
 	wanted     int
+	urgent     int
 	inFlight   int
 	heard      time.Time
 	shareUntil time.Time
@@ -167,7 +172,7 @@
 		return
 	}
 	m.sent, m.heard = w.Sent, now
-	m.owners, m.wanted, m.inFlight = w.Members, w.Wanted, w.InFlight
+	m.owners, m.wanted, m.urgent, m.inFlight = w.Members, w.Wanted, w.Urgent, w.InFlight
 	p.tell(now)
 	if w.Echo == 0 {
 		return
@@ -266,35 +271,54 @@
 	return min(p.lent(now, level), level-unknown) - others
 }
 
-// target returns a member's part: what it wants while all wants can be met,
-// else an equal part that no one wants more of; and of what nobody wants an
-// equal part. Odd requests go to those that have a grant already.
+// target returns a member's part. Urgent wants are met first, then the others;
+// where they can't all be met, members get parts in proportion. What nobody
+// wants is dealt out equally. Odd requests go to those that have a grant already.
 func (p *Pool) target(now time.Time, m *member, level int) int {
 	left := p.lent(now, level)
 	for _, other := range p.order {
 		other.part = 0
 		other.holds = other.obligation(now) > 0
 	}
-	for given := true; given && left > 0; {
-		given = false
-		for _, holds := range [...]bool{true, false} {
-			left, given = p.deal(left, given, func(o *member) bool { return o.holds == holds && o.part < o.wanted })
-		}
-	}
-	for left > 0 {
-		left, _ = p.deal(left, false, func(*member) bool { return true })
+	left = p.dealWants(left, func(o *member) int { return o.urgent })
+	left = p.dealWants(left, func(o *member) int { return o.wanted })
+	for i, other := range p.order {
+		other.part += part(left, i, len(p.order))
 	}
 	return m.part
 }
 
-// deal gives one request more to each member that a test accepts.
-func (p *Pool) deal(left int, given bool, accept func(*member) bool) (int, bool) {
-	for _, m := range p.order {
-		if left > 0 && accept(m) {
-			m.part++
-			left--
-			given = true
+// part returns what one of a number of places gets when a total is dealt out.
+func part(total, place, places int) int {
+	if place < total%places {
+		return total/places + 1
+	}
+	return total / places
+}
+
+// dealWants gives members what they want; where there is less, in proportion by
+// the method of Webster.
+func (p *Pool) dealWants(left int, want func(*member) int) int {
+	for ; left > 0; left-- {
+		var next *member
+		best := 0.0
+		for _, m := range p.order {
+			wanted := want(m)
+			if m.part >= wanted {
+				continue
+			}
+			rank := (float64(m.part) + 0.5) / float64(wanted)
+			if m.holds {
+				rank *= holdsBonus
+			}
+			if next == nil || rank < best {
+				next, best = m, rank
+			}
+		}
+		if next == nil {
+			return left
 		}
+		next.part++
 	}
-	return left, given
+	return left
 }
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -92,7 +92,8 @@
 		p.version = c.drawVersion(q)
 	}
 	p.item = c.item(now, id, q, s)
-	s.add(now, p)
+	s.measure(now)
+	s.add(p)
 	out := c.assign(now, s, nil)
 	if s.waiting[id] == nil {
 		return out
@@ -116,6 +117,7 @@
 func (c *Core) Release(now time.Time, e Ended) []Assignment {
 	c.usage(e.Upstream).inFlight--
 	s := c.service(e.Service)
+	s.measure(now)
 	s.ended(now, e)
 	return c.assign(now, s, nil)
 }
@@ -124,6 +126,7 @@
 func (c *Core) Tick(now time.Time) []Assignment {
 	var out []Assignment
 	for _, s := range c.ordered {
+		s.measure(now)
 		out = s.expire(now, out)
 		out = c.assign(now, s, out)
 	}
@@ -143,7 +146,9 @@
 func (c *Core) Demand() []control.Demand {
 	demands := make([]control.Demand, 0, len(c.services))
 	for _, s := range c.ordered {
-		demand := control.Demand{Service: s.name, Waiting: map[string]int{}, InFlight: map[string]int{}}
+		demand := control.Demand{
+			Service: s.name, Waiting: map[string]int{}, InFlight: map[string]int{}, Urgent: s.urgent(),
+		}
 		for _, p := range s.waiting {
 			demand.Waiting[p.version]++
 		}
@@ -270,7 +275,7 @@
 		if free == 0 {
 			return out
 		}
-		p, u := c.serveNext(now, s, free, slots)
+		p, u := c.serveNext(now, s, slots)
 		if p == nil {
 			return out
 		}
@@ -299,9 +304,9 @@
 
 // serveNext takes the request that comes next off its queue and returns it
 // with its upstream; nil if none can be served.
-func (c *Core) serveNext(now time.Time, s *service, free, slots int) (*pending, *control.Upstream) {
+func (c *Core) serveNext(now time.Time, s *service, slots int) (*pending, *control.Upstream) {
 	for _, class := range s.order() {
-		if !s.admits(now, class, free, slots) {
+		if !s.admits(class, slots) {
 			continue
 		}
 		var chosen *control.Upstream
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -28,8 +28,6 @@
 }
 
 const (
-	// recentUrgent is how long slots are kept back for a class after its last request.
-	recentUrgent = 10 * time.Second
 	// rateGain is the weight of a new sample in moving averages.
 	rateGain = 0.05
 	// servedHalfLife is the cost, in tokens, after which the record of what
@@ -39,12 +37,23 @@
 	shortestFactor = 0.5
 )
 
-// maxUse is the share of the slots that a class may fill while a more urgent
-// one is in use.
-var maxUse = [classes]float64{1, 0.9, 0.7}
+const (
+	// needRise and needFall are the times in which the estimate of the slots
+	// that a class needs follows a rise and a fall; recentTime is that of the
+	// estimate that goes to keepers.
+	needRise   = 2 * time.Second
+	needFall   = 30 * time.Second
+	recentTime = 3 * time.Second
+	// headroom is the part of its need that is kept free for a class beside it.
+	headroom = 1.25
+)
 
-// minServed is the share of the served cost that each class gets while it waits.
-var minServed = [classes]float64{0, 0.1, 0.1}
+// minSlots is the share of the slots that a class may fill in any case, and
+// minServed the share of the served cost that it gets while it waits.
+var (
+	minSlots  = [classes]float64{1, 0.15, 0.1}
+	minServed = [classes]float64{0, 0.1, 0.05}
+)
 
 // pending is a waiting request.
 type pending struct {
@@ -61,7 +70,10 @@
 	waiting  map[uint64]*pending
 	inFlight [classes]int
 	served   [classes]float64
-	arrived  [classes]time.Time
+	// need estimates the slots that each class needs, as of measured.
+	need     [classes]float64
+	recent   [classes]float64
+	measured time.Time
 	// perToken is the usual time that a slot is taken for each token of cost.
 	perToken time.Duration
 }
@@ -74,10 +86,33 @@
 	return s
 }
 
-func (s *service) add(now time.Time, p *pending) {
+func (s *service) add(p *pending) {
 	s.waiting[p.item.ID] = p
 	s.queues[p.class].Push(p.item)
-	s.arrived[p.class] = now
+}
+
+// measure brings the estimates of need up to a time.
+func (s *service) measure(now time.Time) {
+	elapsed := now.Sub(s.measured)
+	if s.measured.IsZero() {
+		elapsed = 0
+	}
+	s.measured = now
+	for class := range s.need {
+		demand := float64(s.inFlight[class] + s.queues[class].Len())
+		follow := needFall
+		if demand > s.need[class] {
+			follow = needRise
+		}
+		s.need[class] += (demand - s.need[class]) * gain(elapsed, follow)
+		s.recent[class] += (demand - s.recent[class]) * gain(elapsed, recentTime)
+	}
+}
+
+// gain returns the weight of a sample that holds for a time in an average over
+// another time.
+func gain(elapsed, over time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/over.Seconds())
 }
 
 func (s *service) remove(p *pending) {
@@ -135,28 +170,38 @@
 }
 
 // admits reports whether a class may fill another slot.
-func (s *service) admits(now time.Time, class, free, slots int) bool {
-	if s.queues[class].Len() == 0 || free == 0 {
+func (s *service) admits(class, slots int) bool {
+	if s.queues[class].Len() == 0 {
 		return false
 	}
-	if class == interactive || !s.urgentSince(now, class) {
+	if class == interactive {
 		return true
 	}
+	return s.taken(class) < s.allowed(class, slots)
+}
+
+// taken counts the slots of a class and of the less urgent ones.
+func (s *service) taken(class int) int {
 	taken := 0
 	for less := class; less < classes; less++ {
 		taken += s.inFlight[less]
 	}
-	return taken < max(1, int(maxUse[class]*float64(slots)))
+	return taken
 }
 
-// urgentSince reports whether a more urgent class was in use lately.
-func (s *service) urgentSince(now time.Time, class int) bool {
+// allowed returns the slots that a class may fill: those that more urgent
+// classes do not need, and a small share in any case.
+func (s *service) allowed(class, slots int) int {
+	left := float64(slots)
 	for urgent := range class {
-		if s.inFlight[urgent] > 0 || now.Sub(s.arrived[urgent]) < recentUrgent {
-			return true
-		}
+		left -= headroom * s.need[urgent]
 	}
-	return false
+	return max(1, int(left), int(minSlots[class]*float64(slots)))
+}
+
+// urgent returns the slots that all but the batch class need.
+func (s *service) urgent() int {
+	return int(math.Ceil(s.recent[interactive] + s.recent[standard]))
 }
 
 // wait estimates how long a request waits for one of a number of slots.
@@ -165,10 +210,7 @@
 		return 0
 	}
 	cost := s.queues[p.class].Ahead(p.item.Customer, p.item.Share) - p.item.Cost
-	for urgent := range p.class {
-		cost += s.queues[urgent].Cost()
-	}
-	wait := cost * float64(s.perToken) / (float64(slots) * maxUse[p.class])
+	wait := cost * float64(s.perToken) / float64(s.allowed(p.class, slots))
 	return time.Duration(min(wait, math.MaxInt64/2))
 }
 
