Tell the machines of a host how far rollouts are and which hosts retire

The fleet needs both: it has to start hosts for the next step of a move, and to have an upstream left alone before its host is stopped. The aggregator of a move and the first receivers of a retreat are chosen by package rendezvous in place of a copy of the same rule.

--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -252,6 +252,8 @@
 	Phase   control.RolloutPhase `json:"phase"`
 	By      time.Time            `json:"by"`
 	Reason  string               `json:"reason,omitempty"`
+	// Share is the version's share of new requests.
+	Share float64 `json:"share"`
 }
 
 // Status asks all hosts for the configuration that is in force there.
@@ -273,7 +275,10 @@
 func rollouts(snapshot *control.Snapshot) []Rollout {
 	list := []Rollout{}
 	for _, r := range snapshot.Rollouts {
-		list = append(list, Rollout(r))
+		list = append(list, Rollout{
+			Service: r.Service, Version: r.Version, Offset: r.Offset,
+			Phase: r.Phase, By: r.By, Reason: r.Reason, Share: r.Share,
+		})
 	}
 	return list
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -203,6 +203,17 @@
 	Hosts []EntryHost
 }
 
+// RolloutsChanged tells how far the moves to new versions are.
+type RolloutsChanged struct {
+	Rollouts []Rollout
+}
+
+// HostsRetired tells which upstream hosts are to be stopped; they get no new
+// work.
+type HostsRetired struct {
+	IDs map[string]bool
+}
+
 func (Tick) isInput()            {}
 func (Record) isInput()          {}
 func (Truncated) isInput()       {}
@@ -227,6 +238,8 @@
 func (Leaving) isInput()         {}
 func (Configured) isInput()      {}
 func (MembersChanged) isInput()  {}
+func (RolloutsChanged) isInput() {}
+func (HostsRetired) isInput()    {}
 
 // Output is one of the types below.
 type Output interface{ isOutput() }
--- a/internal/control/rollout/exchange.go
+++ b/internal/control/rollout/exchange.go
@@ -6,11 +6,10 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 
 	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
 )
@@ -150,23 +149,14 @@
 // someOf returns the peers that this host tells of a retreat: all where there
 // are few, else a choice that differs from host to host.
 func (m *Machine) someOf(ref Ref) []string {
-	type ranked struct {
-		id   string
-		hash uint64
-	}
-	var peers []ranked
+	var peers []string
 	for _, host := range m.members {
 		if host.ID != m.self.ID {
-			hash := xxhash.Sum64String(m.self.ID + "/" + host.ID + "/" + ref.Service + "/" + ref.Version)
-			peers = append(peers, ranked{host.ID, hash})
+			peers = append(peers, host.ID)
 		}
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].hash < peers[j].hash })
-	var ids []string
-	for _, peer := range peers[:min(retreatFanout, len(peers))] {
-		ids = append(ids, peer.id)
-	}
-	return ids
+	order := rendezvous.Order(m.self.ID+"/"+ref.Service+"/"+ref.Version, peers)
+	return order[:min(retreatFanout, len(order))]
 }
 
 func (m *Machine) heard(now time.Time, in control.Heard) []control.Output {
--- a/internal/control/rollout/rollout.go
+++ b/internal/control/rollout/rollout.go
@@ -11,14 +11,13 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
 func init() { kernel.Register(&Machine{}) }
@@ -98,6 +97,7 @@
 	switch in := in.(type) {
 	case control.Configured:
 		m.configured(now, in)
+		return m.raise()
 	case control.MembersChanged:
 		m.members = in.Hosts
 		for _, mv := range m.moves {
@@ -119,6 +119,7 @@
 	case control.Record:
 		if in.Stream == logsvc.StreamRollout {
 			m.fold.Take(in.Record)
+			return m.raise()
 		}
 	case control.Truncated:
 		if in.Stream == logsvc.StreamRollout {
@@ -196,20 +197,24 @@
 	return m.fold.State().Status(mv.ref, mv.move, mv.config)
 }
 
-// aggregator returns the host that gathers the evidence of a move: the live
-// host with the highest hash of itself and the move.
+// aggregator returns the host that gathers the evidence of a move.
 func (m *Machine) aggregator(ref Ref) string {
-	best, bestHash := m.self.ID, uint64(0)
+	candidates := []string{m.self.ID}
 	for _, host := range m.members {
-		if host.Leaving {
-			continue
-		}
-		hash := xxhash.Sum64String(host.ID + "/" + ref.Service + "/" + ref.Version)
-		if hash > bestHash || hash == bestHash && host.ID < best {
-			best, bestHash = host.ID, hash
+		if !host.Leaving && host.ID != m.self.ID {
+			candidates = append(candidates, host.ID)
 		}
 	}
-	return best
+	return rendezvous.First(ref.Service+"/"+ref.Version, candidates)
+}
+
+// raise tells the other machines how far the moves are.
+func (m *Machine) raise() []control.Output {
+	changed := control.RolloutsChanged{}
+	for _, ref := range m.refs() {
+		changed.Rollouts = append(changed.Rollouts, rolloutOf(m.moves[ref], m.status(m.moves[ref])))
+	}
+	return []control.Output{control.Raise{Input: changed}}
 }
 
 // Publish implements control.Machine.
@@ -248,6 +253,7 @@
 	r := control.Rollout{
 		Service: mv.ref.Service, Version: mv.ref.Version, Offset: status.Config,
 		Phase: status.Phase, By: mv.move.By, Reason: status.Reason,
+		Share: status.share(), Next: status.next(),
 	}
 	if status.Phase == control.RolloutMoving && mv.back != "" {
 		r.Reason = mv.back
--- a/internal/control/rollout/state.go
+++ b/internal/control/rollout/state.go
@@ -56,6 +56,18 @@
 	return floor + (s.Move.Goal-floor)*ladder[s.Step]
 }
 
+// next returns the largest share that the move may get at its next step.
+func (s Status) next() float64 {
+	if s.Phase != control.RolloutMoving {
+		return s.share()
+	}
+	if s.Step == lastStep {
+		return s.Move.Goal
+	}
+	s.Step = max(maxFirstStep, s.Step+1)
+	return s.share()
+}
+
 // proved returns the share that the next move of the version starts from.
 func (s Status) proved() float64 {
 	switch s.Phase {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -159,6 +159,9 @@
 	By     time.Time
 	// Reason says why the version was taken back.
 	Reason string
+	// Share is the version's share of new requests, Next the largest that it
+	// may get at the next step.
+	Share, Next float64
 }
 
 // Upstream returns the upstream of an ID, or nil.
--- a/internal/control/upstreams/publish.go
+++ b/internal/control/upstreams/publish.go
@@ -68,7 +68,7 @@
 	}
 	return publishKey{
 		host: e.host, price: e.price,
-		open:  e.zoneIn && !e.host.Leaving && !now.Before(e.breaker.until),
+		open:  e.zoneIn && !e.host.Leaving && !e.retired && !now.Before(e.breaker.until),
 		limit: limit, until: until, capacity: capacity,
 		cold: e.cold, load: e.load, report: e.report, set: true,
 	}
--- a/internal/control/upstreams/topology.go
+++ b/internal/control/upstreams/topology.go
@@ -20,7 +20,9 @@
 	price float64
 	// zoneIn tells that the upstream's zone takes new work.
 	zoneIn bool
-	traits slowstart.Traits
+	// retired tells that the upstream's host is to be stopped.
+	retired bool
+	traits  slowstart.Traits
 	// members is the number of hosts that may send here; keeper is the one
 	// that this host takes for the upstream's keeper.
 	members int
@@ -79,6 +81,7 @@
 		}
 		return a.ID < b.ID
 	})
+	m.markRetired()
 }
 
 // region returns the entry hosts and the upstreams of this host's region.
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -37,6 +37,8 @@
 	// offset spreads the odd requests of hosts over the upstreams.
 	offset    int
 	baselines map[control.RouteKey]*baseline
+	// retired holds the upstreams whose hosts are to be stopped.
+	retired   map[string]bool
 	changed   bool
 	published map[string][]*control.Upstream
 }
@@ -81,6 +83,9 @@
 			m.listed = in.List.Hosts
 			m.rebuild(now)
 		}
+	case control.HostsRetired:
+		m.retired = in.IDs
+		m.markRetired()
 	case control.MembersChanged:
 		m.membersChanged(now, in.Hosts)
 	case control.Demand:
@@ -97,6 +102,14 @@
 	return nil
 }
 
+// markRetired closes the upstreams whose hosts are to be stopped.
+func (m *Machine) markRetired() {
+	m.changed = true
+	for _, e := range m.ordered {
+		e.retired = m.retired[e.host.ID]
+	}
+}
+
 func (m *Machine) membersChanged(now time.Time, hosts []control.EntryHost) {
 	live := map[string]bool{m.self.ID: true}
 	for _, host := range hosts {
