--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -59,6 +59,8 @@
 	Put Put `json:"put"`
 	// Recent holds what became of the newest entries, oldest first.
 	Recent []control.PutOutcome `json:"recent,omitempty"`
+	// parsed is the document of Put; nil where the state came from a checkpoint.
+	parsed *document.Document
 }
 
 // recentPuts is the number of entries whose outcome is kept.
@@ -102,11 +104,13 @@
 	if err != nil {
 		return
 	}
-	if _, err := document.Parse(text); err != nil {
+	parsed, err := document.Parse(text)
+	if err != nil {
 		return
 	}
 	outcome.Verdict = control.PutAccepted
 	state.Offset = rec.Offset
+	state.parsed = parsed
 	state.Put = Put{ID: put.ID, Base: put.Base, Author: put.Author, Document: string(text)}
 }
 
@@ -207,11 +211,14 @@
 	if !m.fold.Known() || state.Put.Document == "" {
 		return nil
 	}
-	return m.adopt(state.Offset, state.Put.Document)
+	if state.parsed == nil {
+		return m.adoptText(state.Offset, state.Put.Document)
+	}
+	return m.adopt(state.Offset, state.Put.Document, state.parsed)
 }
 
-// adopt puts a document in force if it is newer than the present one.
-func (m *Machine) adopt(offset int64, text string) []control.Output {
+// adoptText puts a document in force that was not parsed yet.
+func (m *Machine) adoptText(offset int64, text string) []control.Output {
 	if offset <= m.offset {
 		return nil
 	}
@@ -219,6 +226,14 @@
 	if err != nil {
 		return nil
 	}
+	return m.adopt(offset, text, doc)
+}
+
+// adopt puts a document in force if it is newer than the present one.
+func (m *Machine) adopt(offset int64, text string, doc *document.Document) []control.Output {
+	if offset <= m.offset {
+		return nil
+	}
 	m.offset, m.text, m.document = offset, text, doc
 	return []control.Output{control.Raise{Input: control.Configured{Offset: offset, Document: doc}}}
 }
@@ -226,7 +241,7 @@
 func (m *Machine) heard(in control.Heard) []control.Output {
 	switch body := in.Message.GetBody().(type) {
 	case *peerv1.Message_Config:
-		return m.adopt(body.Config.GetOffset(), string(body.Config.GetDocument()))
+		return m.adoptText(body.Config.GetOffset(), string(body.Config.GetDocument()))
 	case *peerv1.Message_ConfigWant:
 		if m.offset > body.ConfigWant.GetAfter() {
 			return []control.Output{control.Tell{To: in.From, Message: m.message()}}
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/tailscale/hujson"
@@ -116,14 +117,12 @@
 // duplicate fields and values of the wrong type. When it reports any, dst is
 // left unchanged.
 func (d *Document) Decode(dst any) Faults {
-	var faults Faults
-	d.check(&d.ast, reflect.TypeOf(dst).Elem(), "", &faults)
-	if len(faults) > 0 {
-		return faults
+	checker := decoder{document: d}
+	checker.check(&d.ast, reflect.TypeOf(dst).Elem(), nil)
+	if len(checker.faults) > 0 {
+		return checker.faults
 	}
-	standard := d.ast.Clone()
-	standard.Standardize()
-	if err := json.Unmarshal(standard.Pack(), dst); err != nil {
+	if err := json.Unmarshal(standard(&d.ast), dst); err != nil {
 		return Faults{{Line: 1, Message: err.Error()}}
 	}
 	return nil
@@ -131,78 +130,99 @@
 
 var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
 
-// check walks the syntax tree beside the Go type it will be decoded into.
-func (d *Document) check(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+// pointer is a JSON pointer that is written out only when a fault needs it.
+type pointer struct {
+	parent *pointer
+	name   string
+}
+
+// String writes the pointer as in RFC 6901.
+func (p *pointer) String() string {
+	if p == nil {
+		return ""
+	}
+	return p.parent.String() + "/" + escape(p.name)
+}
+
+func (p *pointer) child(name string) *pointer { return &pointer{parent: p, name: name} }
+
+// decoder checks a syntax tree beside the Go type it will be decoded into.
+type decoder struct {
+	document *Document
+	faults   Faults
+}
+
+func (d *decoder) fault(at *pointer, format string, args ...any) {
+	d.faults = append(d.faults, d.document.Fault(at.String(), format, args...))
+}
+
+func (d *decoder) check(v *hujson.Value, t reflect.Type, at *pointer) {
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
 	if reflect.PointerTo(t).Implements(unmarshalerType) {
-		d.checkLeaf(v, t, path, faults)
+		d.checkLeaf(v, t, at)
 		return
 	}
 	switch t.Kind() {
 	case reflect.Struct:
-		d.checkStruct(v, t, path, faults)
+		d.checkStruct(v, t, at)
 	case reflect.Map:
-		d.checkMap(v, t, path, faults)
+		d.checkMap(v, t, at)
 	case reflect.Slice:
-		d.checkSlice(v, t, path, faults)
+		d.checkSlice(v, t, at)
 	default:
-		d.checkLeaf(v, t, path, faults)
+		d.checkLeaf(v, t, at)
 	}
 }
 
-func (d *Document) checkStruct(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+func (d *decoder) checkStruct(v *hujson.Value, t reflect.Type, at *pointer) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		*faults = append(*faults, d.Fault(path, "want an object"))
+		d.fault(at, "want an object")
 		return
 	}
 	fields := fieldsByName(t)
-	seen := map[string]bool{}
+	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
 		name := memberName(&object.Members[i])
-		child := path + "/" + escape(name)
 		field, known := fields[name]
 		switch {
 		case !known:
-			*faults = append(*faults, d.Fault(child, "unknown field"))
+			d.fault(at.child(name), "unknown field")
 		case seen[name]:
-			*faults = append(*faults, d.Fault(child, "field given twice"))
+			d.fault(at.child(name), "field given twice")
 		default:
-			d.check(&object.Members[i].Value, field, child, faults)
+			d.check(&object.Members[i].Value, field, at.child(name))
 		}
 		seen[name] = true
 	}
 }
 
-func (d *Document) checkMap(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+func (d *decoder) checkMap(v *hujson.Value, t reflect.Type, at *pointer) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		*faults = append(*faults, d.Fault(path, "want an object"))
+		d.fault(at, "want an object")
 		return
 	}
 	for i := range object.Members {
-		child := path + "/" + escape(memberName(&object.Members[i]))
-		d.check(&object.Members[i].Value, t.Elem(), child, faults)
+		d.check(&object.Members[i].Value, t.Elem(), at.child(memberName(&object.Members[i])))
 	}
 }
 
-func (d *Document) checkSlice(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
+func (d *decoder) checkSlice(v *hujson.Value, t reflect.Type, at *pointer) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		*faults = append(*faults, d.Fault(path, "want a list"))
+		d.fault(at, "want a list")
 		return
 	}
 	for i := range array.Elements {
-		d.check(&array.Elements[i], t.Elem(), path+"/"+strconv.Itoa(i), faults)
+		d.check(&array.Elements[i], t.Elem(), at.child(strconv.Itoa(i)))
 	}
 }
 
-func (d *Document) checkLeaf(v *hujson.Value, t reflect.Type, path string, faults *Faults) {
-	standard := v.Clone()
-	standard.Standardize()
-	err := json.Unmarshal(standard.Pack(), reflect.New(t).Interface())
+func (d *decoder) checkLeaf(v *hujson.Value, t reflect.Type, at *pointer) {
+	err := json.Unmarshal(standard(v), reflect.New(t).Interface())
 	if err == nil {
 		return
 	}
@@ -211,10 +231,17 @@
 	if errors.As(err, &mismatch) {
 		message = fmt.Sprintf("want a %s, not a %s", t.Kind(), mismatch.Value)
 	}
-	*faults = append(*faults, d.Fault(path, "%s", message))
+	d.fault(at, "%s", message)
 }
 
+// fieldTypes caches fieldsByName by reflect.Type.
+var fieldTypes sync.Map
+
+// fieldsByName returns the types of a struct's fields by their JSON names.
 func fieldsByName(t reflect.Type) map[string]reflect.Type {
+	if cached, ok := fieldTypes.Load(t); ok {
+		return cached.(map[string]reflect.Type)
+	}
 	fields := make(map[string]reflect.Type, t.NumField())
 	for field := range t.Fields() {
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
@@ -222,6 +249,7 @@
 			fields[name] = field.Type
 		}
 	}
+	fieldTypes.Store(t, fields)
 	return fields
 }
 
@@ -233,10 +261,10 @@
 	return literal.String()
 }
 
+var pointerEscapes = strings.NewReplacer("~", "~0", "/", "~1")
+
 // escape encodes a member name for use in a JSON pointer (RFC 6901).
-func escape(name string) string {
-	return strings.NewReplacer("~", "~0", "/", "~1").Replace(name)
-}
+func escape(name string) string { return pointerEscapes.Replace(name) }
 
 // Duration is a time.Duration written as a string such as "250ms".
 type Duration time.Duration
--- a/internal/jsonc/patch.go
+++ b/internal/jsonc/patch.go
@@ -114,6 +114,9 @@
 
 // standard returns a value as JSON without comments and white space.
 func standard(v *hujson.Value) []byte {
+	if literal, ok := v.Value.(hujson.Literal); ok {
+		return literal
+	}
 	clone := v.Clone()
 	clone.Minimize()
 	return clone.Pack()
