Prove who speaks as a peer, speak TLS, and bound slow connections

Any caller could speak as an entry host. Peers now show a token made of the deployment's secret; it stays the same for ten minutes, so that HPACK sends it once a connection, where a signature of each call would be sent with each. Without a secret only loopback passes. With TLS files the host speaks TLS only, and with a peers' authority peers must show a certificate. Replaced files are used for new connections; broken ones leave the old in use. A caller that sends its body or takes its answer too slowly is cut off at each step, not as a whole; http.Server's WriteTimeout was ruled out, as it bounds a whole answer and dossiers take minutes.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -44,7 +44,11 @@
 	if err != nil {
 		return fail(err)
 	}
-	h, err := host.New(s, dev.Dependencies(s, events, uint64(time.Now().UnixNano())))
+	deps, err := dev.Dependencies(s, events, uint64(time.Now().UnixNano()))
+	if err != nil {
+		return fail(err)
+	}
+	h, err := host.New(s, deps)
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -23,12 +24,14 @@
 
 	// The hosts of a system have all modules.
 	_ "github.com/marigoldmux/marigoldmux/internal/modules"
+	"github.com/marigoldmux/marigoldmux/internal/peerauth"
 	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
 	"github.com/marigoldmux/marigoldmux/internal/platform/weightstore"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
 	"github.com/marigoldmux/marigoldmux/internal/standin"
+	"github.com/marigoldmux/marigoldmux/internal/tlsfiles"
 )
 
 const (
@@ -56,6 +59,8 @@
 	Seed   uint64
 	// Secret is the deployment's shared secret.
 	Secret []byte
+	// TLS makes the hosts speak TLS only; nil leaves them without.
+	TLS *settings.TLS
 	// Instant makes the upstreams answer without delay.
 	Instant bool
 }
@@ -224,9 +229,13 @@
 		Platform: settings.Platform{
 			Log: base + "/log", HostList: base + "/hostlist", Cloud: base + "/cloud", Weights: base + "/weights",
 		},
-		Secret: s.opts.Secret,
+		Secret: s.opts.Secret, TLS: s.opts.TLS,
 	}
-	h, err := host.New(set, Dependencies(set, s.opts.Events, s.opts.Seed+uint64(index)))
+	deps, err := Dependencies(set, s.opts.Events, s.opts.Seed+uint64(index))
+	if err != nil {
+		return err
+	}
+	h, err := host.New(set, deps)
 	if err != nil {
 		return err
 	}
@@ -240,9 +249,29 @@
 	return nil
 }
 
-// Dependencies returns the dependencies of a host that reaches everything over HTTP.
-func Dependencies(s *settings.Settings, events *event.Logger, seed uint64) host.Dependencies {
+// newDialer returns a dialer that proves to peers who calls.
+func newDialer(s *settings.Settings, events *event.Logger) (*dial.HTTP, error) {
+	guard := peerauth.New(s.Secret, s.TLS != nil, events)
+	dialer := dial.NewHTTP(connect.WithInterceptors(guard.Interceptor()))
+	if s.TLS == nil {
+		return dialer, nil
+	}
+	source, err := tlsfiles.Load(tlsfiles.Files{Cert: s.TLS.CertFile, Key: s.TLS.KeyFile, PeerCA: s.TLS.PeerCAFile}, events)
+	if err != nil {
+		return nil, err
+	}
+	dialer.UsePeerTLS(source.Peer)
+	return dialer, nil
+}
+
+// Dependencies returns the dependencies of a host that reaches everything over
+// HTTP. Its error is tlsfiles.ErrFiles.
+func Dependencies(s *settings.Settings, events *event.Logger, seed uint64) (host.Dependencies, error) {
 	client := httpjson.NewCompressingClient()
+	dialer, err := newDialer(s, events)
+	if err != nil {
+		return host.Dependencies{}, err
+	}
 	return host.Dependencies{
 		Platform: host.Platform{
 			Log:     logsvc.NewClient(s.Platform.Log, client),
@@ -250,10 +279,10 @@
 			Cloud:   cloud.NewClient(s.Platform.Cloud, client),
 			Weights: weightstore.NewClient(s.Platform.Weights, client),
 		},
-		Dialer: dial.NewHTTP(),
+		Dialer: dialer,
 		Events: events,
 		Seed:   seed,
-	}
+	}, nil
 }
 
 // AwaitReady waits until every entry host has the configuration in force and
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -2,6 +2,7 @@
 package dial
 
 import (
+	"crypto/tls"
 	"net/http"
 	"sync"
 
@@ -22,9 +23,11 @@
 
 // HTTP makes clients that speak HTTP and keeps one of each kind an address.
 type HTTP struct {
-	client  *http.Client
-	peer    *http.Client
-	options []connect.ClientOption
+	client *http.Client
+	peer   *http.Client
+	// peerScheme is "http", or "https" when peers speak TLS.
+	peerScheme string
+	options    []connect.ClientOption
 
 	mu      sync.Mutex
 	engines map[string]engine.Engine
@@ -37,15 +40,22 @@
 // NewHTTP returns a dialer; the options apply to clients of peers.
 func NewHTTP(options ...connect.ClientOption) *HTTP {
 	return &HTTP{
-		client:  httpjson.NewClient(),
-		peer:    httpjson.NewPeerClient(),
-		options: options,
-		engines: map[string]engine.Engine{},
-		plains:  map[string]plain.Service{},
-		peers:   map[string]peerv1connect.PeerServiceClient{},
+		client:     httpjson.NewClient(),
+		peer:       httpjson.NewPeerClient(),
+		peerScheme: "http",
+		options:    options,
+		engines:    map[string]engine.Engine{},
+		plains:     map[string]plain.Service{},
+		peers:      map[string]peerv1connect.PeerServiceClient{},
 	}
 }
 
+// UsePeerTLS makes calls to peers use TLS. It must be called before any call.
+func (d *HTTP) UsePeerTLS(current func() *tls.Config) {
+	d.peer = httpjson.NewPeerTLSClient(current)
+	d.peerScheme = "https"
+}
+
 // Engine implements Dialer.
 func (d *HTTP) Engine(address string) engine.Engine {
 	return cached(d, d.engines, address, func() engine.Engine { return engine.NewClient("http://"+address, d.client) })
@@ -59,7 +69,7 @@
 // Peer implements Dialer.
 func (d *HTTP) Peer(address string) peerv1connect.PeerServiceClient {
 	return cached(d, d.peers, address, func() peerv1connect.PeerServiceClient {
-		return peerv1connect.NewPeerServiceClient(d.peer, "http://"+address, d.options...)
+		return peerv1connect.NewPeerServiceClient(d.peer, d.peerScheme+"://"+address, d.options...)
 	})
 }
 
--- a/internal/entry/output.go
+++ b/internal/entry/output.go
@@ -132,7 +132,7 @@
 	case !found:
 		return unknownRequest(c, id)
 	case last.Moved != nil:
-		c.Response().Header().Set(echo.HeaderLocation, "http://"+last.Moved.Address+"/v1/requests/"+id)
+		c.Response().Header().Set(echo.HeaderLocation, c.Scheme()+"://"+last.Moved.Address+"/v1/requests/"+id)
 		return c.NoContent(http.StatusTemporaryRedirect)
 	case last.Result == nil:
 		return c.NoContent(http.StatusGatewayTimeout)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"net"
@@ -26,6 +27,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/entry"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
+	"github.com/marigoldmux/marigoldmux/internal/limits"
 	"github.com/marigoldmux/marigoldmux/internal/peer"
 	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
@@ -34,6 +36,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
 	"github.com/marigoldmux/marigoldmux/internal/ticket"
+	"github.com/marigoldmux/marigoldmux/internal/tlsfiles"
 )
 
 // The events of an entry host's life.
@@ -51,7 +54,12 @@
 	defaultDrainTimeout = 30 * time.Second
 	retireTimeout       = 3 * time.Second
 	readHeaderTimeout   = 10 * time.Second
-	incarnationBytes    = 6
+	bodyTimeout         = 30 * time.Second
+	writeTimeout        = 30 * time.Second
+	idleTimeout         = 2 * time.Minute
+	// maxHeader bounds the header of a request, in bytes.
+	maxHeader        = 64 << 10
+	incarnationBytes = 6
 )
 
 // ErrStart is the root of errors from starting a host.
@@ -216,10 +224,17 @@
 			return eris.Wrap(ErrStart, err.Error())
 		}
 	}
+	if s := h.settings.TLS; s != nil {
+		source, err := tlsfiles.Load(tlsfiles.Files{Cert: s.CertFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}, h.deps.Events)
+		if err != nil {
+			return err
+		}
+		listener = tls.NewListener(listener, source.Server())
+	}
 	if err := h.StartControl(); err != nil {
 		return err
 	}
-	h.server = &http.Server{Handler: h.echo, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols()}
+	h.server = newServer(h.echo)
 	h.goes(func() {
 		if err := h.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			h.deps.Events.Emit(eventStopFail, zap.Error(err))
@@ -228,11 +243,23 @@
 	return nil
 }
 
+// newServer returns the HTTP server of a host.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           limits.Handler(handler, limits.Timeouts{Body: bodyTimeout, Write: writeTimeout}),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		Protocols:         protocols(),
+	}
+}
+
 // protocols returns what the listener speaks: HTTP/1.1 with callers, HTTP/2
-// without TLS with peers.
+// with peers, with and without TLS.
 func protocols() *http.Protocols {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
+	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
 	return p
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -5,10 +5,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -72,6 +74,19 @@
 	return client
 }
 
+// NewPeerTLSClient returns a client that speaks HTTP/2 with TLS. Each new
+// connection takes the configuration that is then current.
+func NewPeerTLSClient(current func() *tls.Config) *http.Client {
+	client := newClient(false)
+	transport := client.Transport.(*http.Transport)
+	transport.ForceAttemptHTTP2 = true
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialer := tls.Dialer{Config: current()}
+		return dialer.DialContext(ctx, network, address)
+	}
+	return client
+}
+
 func newClient(compress bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
+	"github.com/marigoldmux/marigoldmux/internal/peerauth"
 	"github.com/marigoldmux/marigoldmux/internal/stream"
 	"github.com/marigoldmux/marigoldmux/internal/survey"
 )
@@ -36,6 +37,7 @@
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
 	surveyor   *survey.Surveyor
+	guard      *peerauth.Guard
 	claims     *claim.Store
 }
 
@@ -60,6 +62,8 @@
 	if s.claims, err = kernel.Lookup[*claim.Store](ctx); err != nil {
 		return err
 	}
+	certificates := ctx.Settings.TLS != nil && ctx.Settings.TLS.PeerCAFile != ""
+	s.guard = peerauth.New(ctx.Settings.Secret, certificates, ctx.Events)
 	kernel.Provide[peerv1connect.PeerServiceHandler](ctx, s)
 	return nil
 }
@@ -67,7 +71,7 @@
 // Routes implements kernel.Router.
 func (s *Server) Routes(e *echo.Echo) {
 	path, handler := peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessage))
-	e.POST(strings.TrimSuffix(path, "/")+"/*", echo.WrapHandler(handler))
+	e.POST(strings.TrimSuffix(path, "/")+"/*", echo.WrapHandler(s.guard.Handler(handler)))
 }
 
 // Deliver implements peerv1connect.PeerServiceHandler.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,8 @@
 	// SecretFile holds the deployment's shared secret, from which the keys of
 	// tickets and of peer calls are derived.
 	SecretFile string `json:"secretFile,omitempty"`
+	// TLS makes the host speak TLS only; nil leaves it without.
+	TLS *TLS `json:"tls,omitempty"`
 	// Modules holds the options of modules by their ID.
 	Modules map[string]json.RawMessage `json:"modules,omitempty"`
 
@@ -45,6 +47,16 @@
 	Secret []byte `json:"-"`
 }
 
+// TLS names PEM files. They are read again when they change.
+type TLS struct {
+	// CertFile and KeyFile hold the host's certificate, which names its address.
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	// PeerCAFile holds the authority of the certificates of all entry hosts,
+	// and of nobody else. With it, peers must show a certificate.
+	PeerCAFile string `json:"peerCAFile,omitempty"`
+}
+
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
 	Log      string `json:"log"`
@@ -111,6 +123,10 @@
 	require(isURL(s.Platform.Cloud), "/platform/cloud", "%q is not an http or https URL", s.Platform.Cloud)
 	require(isURL(s.Platform.Weights), "/platform/weights", "%q is not an http or https URL", s.Platform.Weights)
 	require(s.DrainTimeout >= 0, "/drainTimeout", "want a duration of at least 0")
+	if s.TLS != nil {
+		require(s.TLS.CertFile != "", "/tls/certFile", "want the file of the certificate")
+		require(s.TLS.KeyFile != "", "/tls/keyFile", "want the file of the key")
+	}
 	switch s.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
