--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -27,12 +27,13 @@
 	smoke      bool
 	seed       uint64
 	logLevel   string
+	port       int
 }
 
 func (*devCommand) Name() string     { return "dev" }
 func (*devCommand) Synopsis() string { return "run a whole deployment on loopback with stand-ins" }
 func (*devCommand) Usage() string {
-	return `dev [-deployment fundacion|chomkaew] [-hosts N] [-smoke]
+	return `dev [-deployment fundacion|chomkaew] [-hosts N] [-port N] [-smoke]
   Runs entry hosts and stand-ins for the platform and the upstreams in one
   process on loopback, and prints the addresses to try. With -smoke it sends
   one request of each sort, and exits with 0 only if each was answered right.
@@ -44,6 +45,7 @@
 	f.IntVar(&c.hosts, "hosts", 3, "the `number` of entry hosts")
 	f.BoolVar(&c.smoke, "smoke", false, "send one request of each sort and exit")
 	f.Uint64Var(&c.seed, "seed", 1, "the `seed` of all random choices")
+	f.IntVar(&c.port, "port", 8080, "the `port` of the first entry host; the others take the next ones")
 	f.StringVar(&c.logLevel, "log", "warn", "the least severe `level` that is logged")
 }
 
@@ -59,7 +61,10 @@
 	if err != nil {
 		return usage("%v", err)
 	}
-	system, err := dev.Start(dev.Options{Config: config, Hosts: c.hosts, Events: events, Seed: c.seed})
+	if c.smoke {
+		c.port = 0
+	}
+	system, err := dev.Start(dev.Options{Port: c.port, Config: config, Hosts: c.hosts, Events: events, Seed: c.seed})
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,6 +62,9 @@
 	Secret []byte
 	// TLS makes the hosts speak TLS only; nil leaves them without.
 	TLS *settings.TLS
+	// Port is the port of the first entry host; the others take the next ones.
+	// 0 takes free ports.
+	Port int
 	// Instant makes the upstreams answer without delay.
 	Instant bool
 }
@@ -218,7 +222,11 @@
 func (s *System) startHost(index int) error {
 	zones := s.document.AvailabilityZones
 	zone := zones[index%len(zones)]
-	listener, err := net.Listen("tcp", loopback)
+	address := loopback
+	if s.opts.Port != 0 {
+		address = net.JoinHostPort("127.0.0.1", strconv.Itoa(s.opts.Port+index))
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(ErrStart, err.Error())
 	}
