Start and stop hosts by a lease and the wanted hosts in the log

Nothing replaced reclaimed hosts. Now one host per service holds a lease, a record of the fleet stream whose offset is the fencing token, and records the hosts that are wanted before it starts them; a successor goes on with the same IDs. Retired IDs are never wanted again, so late starts and stops do no harm. Engines that do not check tokens are asked what they serve and ordered anew. A lease alone was ruled out: a paused holder may act after it lapsed. While the log is down only lost hosts are replaced, as outages are long and reclaims come in them.

Tests on a stepped clock: demand up and down, reclaim, refused starts, zone out, log outage, takeover, late orders with and without token checks.

--- /dev/null
+++ b/internal/control/fleet/site_test.go
@@ -0,0 +1,329 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/control/fleet"
+	"github.com/marigoldmux/marigoldmux/internal/document"
+	"github.com/marigoldmux/marigoldmux/internal/jsonc"
+	"github.com/marigoldmux/marigoldmux/internal/plan"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
+	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/standin"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
+)
+
+const (
+	service     = "advice"
+	slots       = 16
+	bootTime    = 20 * time.Second
+	coldStart   = time.Minute
+	loadEvery   = 10 * time.Second
+	noticeTime  = 30 * time.Second
+	entryHosts  = 3
+	defaultTick = time.Second
+)
+
+// site runs the machines of three entry hosts over stand-ins of the platform
+// with a stepped clock.
+type site struct {
+	now, start time.Time
+	tick       time.Duration
+	doc        *document.Document
+	nodes      []*fleet.Machine
+	paused     map[int]bool
+	log        []logsvc.Record
+	read       []int
+	logDown    bool
+	hosts      map[string]*simHost
+	refused    map[plan.Slot]time.Time
+	weights    time.Time
+	queue      []delivery
+	starts     int
+	refusals   int
+	// requests is the number of requests that wait or run, over all hosts.
+	requests int
+	// held keeps the outputs of paused nodes until they resume.
+	held map[int][]control.Output
+}
+
+type simHost struct {
+	cloud.StartRequest
+	started, listed, warm, deadline time.Time
+	engine                          *standin.Engine
+	fixed                           bool
+}
+
+type delivery struct {
+	node int
+	in   control.Input
+}
+
+func newDocument() *document.Document {
+	doc := &document.Document{
+		Services: []document.Service{{
+			Name: service, Kind: document.KindEngine,
+			Routes:   []document.Route{{Name: "menu", Deadline: jsonc.Duration(6 * time.Second)}},
+			Versions: []document.Version{{Name: "v1", Goal: 1}},
+			Upstream: document.Traits{MaxInFlight: slots, ColdInFlight: 2, ColdStart: jsonc.Duration(coldStart)},
+			Hosts:    &document.FleetBounds{Min: 4, Max: 24},
+		}},
+	}
+	for i, price := range []float64{0.7, 0.8, 0.6, 0.9} {
+		doc.AvailabilityZones = append(doc.AvailabilityZones, document.AvailabilityZone{
+			Name: fmt.Sprintf("bkk-%c", 'a'+i), Region: "bangkok", State: document.ZoneIn,
+			Prices: map[document.HostClass]float64{document.Reclaimable: price, document.OnDemand: 2.1},
+		})
+	}
+	return doc
+}
+
+func newSite(planner fleet.Planner) *site {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := &site{
+		now: start, start: start, tick: defaultTick, doc: newDocument(), paused: map[int]bool{},
+		hosts: map[string]*simHost{}, refused: map[plan.Slot]time.Time{}, held: map[int][]control.Output{},
+	}
+	for i := range entryHosts {
+		node := &fleet.Machine{Plan: planner}
+		node.Init(control.Self{ID: fmt.Sprintf("entry-%d", i), Incarnation: fmt.Sprintf("run-%d", i)})
+		s.nodes = append(s.nodes, node)
+		s.read = append(s.read, 0)
+		s.give(i, control.LogHealth{Up: true})
+		s.give(i, s.members())
+	}
+	s.configure(1)
+	return s
+}
+
+func (s *site) members() control.MembersChanged {
+	var changed control.MembersChanged
+	for i := range entryHosts {
+		changed.Hosts = append(changed.Hosts, control.EntryHost{ID: fmt.Sprintf("entry-%d", i)})
+	}
+	return changed
+}
+
+func (s *site) configure(offset int64) {
+	for i := range s.nodes {
+		s.give(i, control.Configured{Offset: offset, Document: s.doc})
+	}
+}
+
+// addFixed lists a warm host that the fleet did not start.
+func (s *site) addFixed(id string, slot plan.Slot) {
+	s.hosts[id] = &simHost{
+		StartRequest: cloud.StartRequest{ID: id, Service: service, Version: "v1", Zone: slot.Zone, Class: slot.Class},
+		started:      s.now, listed: s.now, warm: s.now, fixed: true, engine: s.newEngine(),
+	}
+}
+
+func (s *site) newEngine() *standin.Engine {
+	return standin.NewEngine(standin.EngineOptions{
+		Version: "v1", Slots: slots, ChecksFencing: s.doc.Services[0].Upstream.ChecksFencing,
+	})
+}
+
+func (s *site) give(node int, in control.Input) {
+	control.Drive(s.now, []control.Machine{s.nodes[node]}, in, func(out control.Output) {
+		if s.paused[node] {
+			s.held[node] = append(s.held[node], out)
+			return
+		}
+		s.perform(node, out)
+	})
+}
+
+func (s *site) later(node int, in control.Input) {
+	s.queue = append(s.queue, delivery{node, in})
+}
+
+func (s *site) perform(node int, out control.Output) {
+	switch out := out.(type) {
+	case control.Append:
+		if s.logDown {
+			s.later(node, control.AppendFailed{Stream: out.Stream, ID: out.ID})
+			return
+		}
+		s.log = append(s.log, logsvc.Record{Offset: int64(len(s.log)), Time: s.now, ID: out.ID, Data: out.Data})
+	case control.Tell:
+		to := 0
+		_, _ = fmt.Sscanf(out.To, "entry-%d", &to)
+		s.later(to, control.Heard{From: fmt.Sprintf("entry-%d", node), Message: out.Message})
+	case control.StartHost:
+		s.later(node, s.startHost(out.StartRequest))
+	case control.StopHost:
+		delete(s.hosts, out.ID)
+		s.later(node, control.HostStopped{ID: out.ID})
+	case control.ReserveWeights:
+		answer := control.WeightsReserved{HostID: out.HostID, Artifact: out.Artifact}
+		if s.now.Before(s.weights) {
+			answer.RetryAfter, answer.Err = s.weights.Sub(s.now), context.DeadlineExceeded
+		} else {
+			s.weights = s.now.Add(loadEvery)
+		}
+		s.later(node, answer)
+	case control.OrderEngine:
+		s.later(node, control.OrderDone{Upstream: out.Upstream, OrderID: out.Order.ID, Err: s.order(out)})
+	case control.PollUpstream:
+		if h := s.hosts[out.Upstream]; h != nil {
+			load, err := h.engine.Load(context.Background())
+			s.later(node, control.LoadReported{Upstream: out.Upstream, Load: load, Err: err})
+		}
+	}
+}
+
+func (s *site) order(out control.OrderEngine) error {
+	h := s.hosts[out.Upstream]
+	if h == nil {
+		return context.Canceled
+	}
+	err := h.engine.Order(context.Background(), out.Order)
+	if err == nil && h.warm.IsZero() && out.Order.Kind == engine.OrderLoad {
+		h.warm = s.now.Add(coldStart)
+	}
+	return err
+}
+
+func (s *site) startHost(req cloud.StartRequest) control.Input {
+	if _, known := s.hosts[req.ID]; known {
+		return control.HostStarted{ID: req.ID}
+	}
+	if s.now.Before(s.refused[plan.Slot{Zone: req.Zone, Class: req.Class}]) {
+		s.refusals++
+		return control.HostStarted{ID: req.ID, Refused: true, Err: cloud.ErrRefused}
+	}
+	s.starts++
+	s.hosts[req.ID] = &simHost{
+		StartRequest: req, started: s.now, listed: s.now.Add(bootTime), engine: s.newEngine(),
+	}
+	return control.HostStarted{ID: req.ID}
+}
+
+// reclaim gives notice to the reclaimable hosts of a zone and refuses starts
+// there for a while.
+func (s *site) reclaim(zone string, notice, refuse time.Duration) []*simHost {
+	var hit []*simHost
+	for _, id := range s.ids() {
+		h := s.hosts[id]
+		if h.Zone == zone && h.Class == document.Reclaimable && h.deadline.IsZero() {
+			h.deadline = s.now.Add(notice)
+			hit = append(hit, h)
+		}
+	}
+	s.refused[plan.Slot{Zone: zone, Class: document.Reclaimable}] = s.now.Add(refuse)
+	return hit
+}
+
+func (s *site) ids() []string {
+	ids := make([]string, 0, len(s.hosts))
+	for id := range s.hosts {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// step advances the clock by one tick.
+func (s *site) step() {
+	s.now = s.now.Add(s.tick)
+	list := hostlist.List{AsOf: s.now}
+	var notices control.NoticesListed
+	for _, id := range s.ids() {
+		h := s.hosts[id]
+		if !h.deadline.IsZero() && !s.now.Before(h.deadline) {
+			delete(s.hosts, id)
+			continue
+		}
+		if !h.deadline.IsZero() {
+			notices.Notices = append(notices.Notices, cloud.Notice{HostID: id, Deadline: h.deadline})
+		}
+		if !s.now.Before(h.listed) {
+			list.Hosts = append(list.Hosts, hostlist.Host{
+				ID: id, Role: hostlist.RoleUpstream, Address: id, Zone: h.Zone, Class: h.Class, Service: service, Version: h.Version,
+			})
+		}
+	}
+	due := s.queue
+	s.queue = nil
+	for _, d := range due {
+		s.give(d.node, d.in)
+	}
+	for i := range s.nodes {
+		if s.paused[i] {
+			continue
+		}
+		s.give(i, control.HostsListed{List: list})
+		s.give(i, notices)
+		s.give(i, control.Demand{Service: service, InFlight: map[string]int{"any": s.requests / entryHosts}})
+		for ; !s.logDown && s.read[i] < len(s.log); s.read[i]++ {
+			s.give(i, control.Record{Stream: logsvc.StreamFleet, Record: s.log[s.read[i]]})
+		}
+		s.give(i, control.Tick{})
+	}
+}
+
+func (s *site) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+func (s *site) setLog(down bool) {
+	s.logDown = down
+	for i := range s.nodes {
+		s.give(i, control.LogHealth{Up: !down})
+	}
+}
+
+// pause keeps a node from doing anything; what it had decided is done when it
+// resumes.
+func (s *site) pause(node int) { s.paused[node] = true }
+
+func (s *site) resume(node int) {
+	s.paused[node] = false
+	for _, out := range s.held[node] {
+		s.perform(node, out)
+	}
+	s.held[node] = nil
+}
+
+// warm returns the number of warm hosts, by zone.
+func (s *site) warm() map[string]int {
+	counts := map[string]int{}
+	for _, h := range s.hosts {
+		if !h.warm.IsZero() && !s.now.Before(h.warm) {
+			counts[h.Zone]++
+		}
+	}
+	return counts
+}
+
+func total(counts map[string]int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// state folds the log anew.
+func (s *site) state() fleet.Service {
+	var state fleet.State
+	for _, rec := range s.log {
+		applyRecord(&state, rec)
+	}
+	return state.Services[service]
+}
+
+// holder returns the node that has the lease.
+func (s *site) holder() int {
+	node := -1
+	_, _ = fmt.Sscanf(s.state().Lease.Host, "entry-%d", &node)
+	return node
+}
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -5,6 +5,7 @@
 	_ "github.com/marigoldmux/marigoldmux/internal/admin"
 	_ "github.com/marigoldmux/marigoldmux/internal/console"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/config"
+	_ "github.com/marigoldmux/marigoldmux/internal/control/fleet"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/listing"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/membership"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/rollout"
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -448,7 +448,15 @@
 	if e.opts.ChecksFencing && order.Fence < e.fence {
 		return engine.ErrStaleFence
 	}
+	for _, done := range e.orders {
+		if done.ID == order.ID {
+			return nil
+		}
+	}
 	e.fence = max(e.fence, order.Fence)
 	e.orders = append(e.orders, order)
+	if order.Kind == engine.OrderLoad {
+		e.opts.Version = order.Target
+	}
 	return nil
 }
