--- a/internal/control/fleet/controller.go
+++ b/internal/control/fleet/controller.go
@@ -60,6 +60,8 @@
 	// replaced holds hosts started while the log was down, by ID.
 	replaced map[string]Host
 	limited  time.Time
+	// outSince holds when zones were first seen to be out.
+	outSince map[string]time.Time
 }
 
 // progress is how far one host has come.
@@ -88,6 +90,7 @@
 	return &controller{
 		name: name, demand: newDemandPeak(), sent: map[string]time.Time{}, fence: -1,
 		hosts: map[string]*progress{}, closed: map[plan.Slot]*closing{}, replaced: map[string]Host{},
+		outSince: map[string]time.Time{},
 	}
 }
 
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -105,6 +105,20 @@
 	require.GreaterOrEqual(t, total(s.warm()), 6)
 }
 
+func TestHostsOfAZoneThatIsOutAreKeptForAWhile(t *testing.T) {
+	s := newSite(nil)
+	s.requests = 60
+	s.run(10 * time.Minute)
+	inZone := func() int { return s.warm()["bkk-c"] }
+	kept := inZone()
+	require.Positive(t, kept)
+	s.doc.Zone("bkk-c").State = document.ZoneOut
+	s.run(20 * time.Minute)
+	require.Equal(t, kept, inZone())
+	s.run(20 * time.Minute)
+	require.Zero(t, inZone())
+}
+
 func TestLostHostsAreReplacedWhileTheLogIsDown(t *testing.T) {
 	s := newSite(nil)
 	s.requests = 90
--- a/internal/control/fleet/planning.go
+++ b/internal/control/fleet/planning.go
@@ -25,7 +25,8 @@
 	reclaimableShare = 0.67
 	// maxChange bounds the hosts in one entry.
 	maxChange = 50
-	// drainHours and horizonHours price a reclaim and a switch of hosts.
+	// recomputeHours prices the tokens computed again after a reclaim, in hours
+	// of a host; horizonHours is the time over which a switch of hosts pays.
 	recomputeHours = 0.02
 	horizonHours   = 2
 	// demandWindow is the time over which the peak of the demand counts.
@@ -117,7 +118,8 @@
 	}
 	want, surplus := m.difference(now, c, state, lost)
 	e.Want = append(e.Want, want...)
-	e.Retire = append(e.Retire, c.lasting(now, surplus)...)
+	surplus = append(c.lasting(now, surplus), m.inZonesLeft(now, c, state)...)
+	e.Retire = append(e.Retire, surplus...)
 	if len(e.Want) == 0 && len(e.Retire) == 0 {
 		return nil
 	}
@@ -127,6 +129,26 @@
 	return m.append(now, c, e)
 }
 
+// inZonesLeft returns hosts in zones that were taken out long ago. Until then
+// they are kept, as most zones come back.
+func (m *Machine) inZonesLeft(now time.Time, c *controller, state Service) []string {
+	for _, zone := range m.document.AvailabilityZones {
+		if zone.State == document.ZoneIn {
+			delete(c.outSince, zone.Name)
+		} else if _, known := c.outSince[zone.Name]; !known {
+			c.outSince[zone.Name] = now
+		}
+	}
+	var ids []string
+	for _, id := range sortedKeys(state.Wanted) {
+		since, out := c.outSince[state.Wanted[id].Zone]
+		if out && now.Sub(since) >= zoneHold && !m.goes(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // lasting returns surplus hosts once there has been a surplus for a while.
 func (c *controller) lasting(now time.Time, surplus []string) []string {
 	switch {
