--- /dev/null
+++ b/internal/console/fuzz_test.go
@@ -0,0 +1,34 @@
+package console
+
+import (
+	"net/url"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/internal/jsonc"
+)
+
+// FuzzDraft gives the editor any draft and pointer and checks that what comes
+// out is JSON with comments, or nothing.
+func FuzzDraft(f *testing.F) {
+	f.Fuzz(func(t *testing.T, text, pointer, typed string) {
+		draft, err := readDraft(url.Values{"base": {"1"}, "draft": {text}})
+		if err != nil {
+			require.ErrorIs(t, err, ErrDraft)
+			return
+		}
+		if s, err := sectionOf(pointer); err == nil && draft.value(pointer) != nil {
+			_ = schema.Build(s.element, pointer, s.title, draft.value(pointer))
+			values := url.Values{pointer + "/name": {typed}, pointer + "/routes#": {typed}, pointer + "/share": {typed}}
+			if err := draft.replace(pointer, schema.Decode(s.element, pointer, values)); err != nil {
+				require.ErrorIs(t, err, ErrDraft)
+			}
+		}
+		if _, err := draft.add("/customers"); err != nil {
+			require.ErrorIs(t, err, ErrDraft)
+		}
+		_, err = jsonc.Parse([]byte(draft.Text))
+		require.NoError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/settings/fuzz_test.go
@@ -0,0 +1,26 @@
+package settings_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/internal/jsonc"
+	"github.com/marigoldmux/marigoldmux/internal/settings"
+)
+
+// FuzzParse checks that settings are either usable or have faults.
+func FuzzParse(f *testing.F) {
+	f.Fuzz(func(t *testing.T, src []byte) {
+		s, err := settings.Parse(src)
+		if err == nil {
+			require.NotEmpty(t, s.Host)
+			require.NotEmpty(t, s.Address)
+			return
+		}
+		var faults jsonc.Faults
+		require.True(t, errors.As(err, &faults))
+		require.NotEmpty(t, faults)
+	})
+}
