--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -112,7 +111,6 @@
 	e.GET("/v1/requests/:id/stream", m.resume)
 	e.DELETE("/v1/requests/:id", m.cancel)
 	e.GET("/healthz", m.health)
-	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 }
 
 // ErrorAnswer is the body of every answer that is not a success.
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,136 @@
+// Package metrics publishes the counters and gauges of the entry hosts of this
+// process through expvar. docs/METRICS.md explains each.
+package metrics
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/marigoldmux/marigoldmux/internal/admin"
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/dispatch"
+	"github.com/marigoldmux/marigoldmux/internal/kernel"
+)
+
+// published holds the metrics of each host of this process by its ID.
+var published = expvar.NewMap("marigoldmux")
+
+func init() { kernel.Register(&Module{}) }
+
+// Metrics are the counters and gauges of a host.
+type Metrics struct {
+	Accepted         int64 `json:"accepted"`
+	Refused          int64 `json:"refused"`
+	Answered         int64 `json:"answered"`
+	NotRun           int64 `json:"notRun"`
+	Unknown          int64 `json:"unknown"`
+	Retried          int64 `json:"retried"`
+	Tokens           int64 `json:"tokens"`
+	RecomputedTokens int64 `json:"recomputedTokens"`
+	Crossed          int64 `json:"crossed"`
+	Active           int   `json:"active"`
+	ControlDropped   int64 `json:"controlDropped"`
+	ControlAgeMs     int64 `json:"controlAgeMs"`
+	ConfigOffset     int64 `json:"configOffset"`
+	LogUp            bool  `json:"logUp"`
+	Leaving          bool  `json:"leaving"`
+	HostsLive        int   `json:"hostsLive"`
+	UpstreamsOpen    int   `json:"upstreamsOpen"`
+	UpstreamsCold    int   `json:"upstreamsCold"`
+	UpstreamsClosed  int   `json:"upstreamsClosed"`
+	RequestsHeld     int   `json:"requestsHeld"`
+	RolloutsMoving   int   `json:"rolloutsMoving"`
+}
+
+// Module publishes the metrics of a host and serves them to those who may
+// administrate.
+type Module struct {
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	service    *admin.Service
+	host       string
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Module) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "http.metrics", New: func() kernel.Module { return new(Module) }}
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(ctx *kernel.Context) (err error) {
+	m.host = ctx.Self.ID
+	if m.loop, err = kernel.Lookup[*control.Loop](ctx); err != nil {
+		return err
+	}
+	if m.dispatcher, err = kernel.Lookup[*dispatch.Dispatcher](ctx); err != nil {
+		return err
+	}
+	m.service, err = kernel.Lookup[*admin.Service](ctx)
+	return err
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	published.Set(m.host, expvar.Func(func() any { return m.Read(time.Now()) }))
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (m *Module) Stop(context.Context) error {
+	published.Delete(m.host)
+	return nil
+}
+
+// Routes implements kernel.Router.
+func (m *Module) Routes(e *echo.Echo) {
+	vars := expvar.Handler()
+	e.GET("/debug/vars", func(c echo.Context) error {
+		if _, err := m.service.Identify(c.Request()); err != nil {
+			return c.JSON(http.StatusUnauthorized, admin.Problem{Detail: err.Error()})
+		}
+		vars.ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+}
+
+// Read returns the metrics at a time.
+func (m *Module) Read(now time.Time) Metrics {
+	counters := m.dispatcher.Counters()
+	snapshot := m.loop.Snapshot()
+	metrics := Metrics{
+		Accepted: counters.Accepted.Load(), Refused: counters.Refused.Load(),
+		Answered: counters.Answered.Load(), NotRun: counters.NotRun.Load(), Unknown: counters.Unknown.Load(),
+		Retried: counters.Retried.Load(), Tokens: counters.Tokens.Load(),
+		RecomputedTokens: counters.Recomputed.Load(), Crossed: counters.Crossed.Load(),
+		Active: m.dispatcher.Active(), ControlDropped: m.loop.Dropped(),
+		ControlAgeMs: now.Sub(snapshot.At).Milliseconds(),
+		ConfigOffset: snapshot.Offset, LogUp: snapshot.LogUp, Leaving: snapshot.Leaving,
+		HostsLive: len(snapshot.Hosts), RequestsHeld: len(snapshot.Holds),
+	}
+	for _, rollout := range snapshot.Rollouts {
+		if rollout.Phase == control.RolloutMoving {
+			metrics.RolloutsMoving++
+		}
+	}
+	metrics.countUpstreams(snapshot)
+	return metrics
+}
+
+func (m *Metrics) countUpstreams(snapshot *control.Snapshot) {
+	for _, list := range snapshot.Upstreams {
+		for _, u := range list {
+			switch {
+			case !u.Open:
+				m.UpstreamsClosed++
+			case u.Cold:
+				m.UpstreamsCold++
+			default:
+				m.UpstreamsOpen++
+			}
+		}
+	}
+}
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -11,6 +11,7 @@
 	_ "github.com/marigoldmux/marigoldmux/internal/control/rollout"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/upstreams"
 	_ "github.com/marigoldmux/marigoldmux/internal/entry"
+	_ "github.com/marigoldmux/marigoldmux/internal/metrics"
 	_ "github.com/marigoldmux/marigoldmux/internal/peer"
 	_ "github.com/marigoldmux/marigoldmux/internal/survey"
 )
