--- a/internal/control/fleet/controller.go
+++ b/internal/control/fleet/controller.go
@@ -62,6 +62,7 @@
 	limited  time.Time
 	// outSince holds when zones were first seen to be out.
 	outSince map[string]time.Time
+	solved   map[string]solved
 }
 
 // progress is how far one host has come.
@@ -69,6 +70,7 @@
 	tried     time.Time
 	first     time.Time
 	listed    bool
+	up        time.Time
 	gone      bool
 	refused   bool
 	stopped   time.Time
@@ -90,7 +92,7 @@
 	return &controller{
 		name: name, demand: newDemandPeak(), sent: map[string]time.Time{}, fence: -1,
 		hosts: map[string]*progress{}, closed: map[plan.Slot]*closing{}, replaced: map[string]Host{},
-		outSince: map[string]time.Time{},
+		outSince: map[string]time.Time{}, solved: map[string]solved{},
 	}
 }
 
--- a/internal/control/fleet/cost_test.go
+++ b/internal/control/fleet/cost_test.go
@@ -49,6 +49,7 @@
 		plan fleet.Planner
 	}{
 		{"planner", plan.Solve},
+		{"planner, two thirds reclaimable", twoThirds},
 		{"all on-demand, a zone in reserve", onDemandReserved},
 		{"all on-demand, no reserve", onDemandOnly},
 		{"cheapest now", cheapestNow},
@@ -84,6 +85,12 @@
 	return defaultSeeds
 }
 
+// twoThirds bounds the reclaimable hosts.
+func twoThirds(req plan.Request) plan.Fleet {
+	req.ReclaimableShare = 0.67
+	return plan.Solve(req)
+}
+
 // onDemandReserved plans without reclaimable hosts, for the loss of a zone.
 func onDemandReserved(req plan.Request) plan.Fleet {
 	req.ReclaimableShare = 0
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"sort"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
@@ -42,6 +44,9 @@
 
 func init() { kernel.Register(&Machine{}) }
 
+// ErrOptions says that the module's options are not usable.
+var ErrOptions = eris.New("fleet options")
+
 // Planner decides where the hosts of a service should run.
 type Planner func(plan.Request) plan.Fleet
 
@@ -49,6 +54,9 @@
 type Machine struct {
 	// Plan is the planner; nil means plan.Solve.
 	Plan Planner `json:"-"`
+	// ReclaimableShare bounds the share of a service's hosts that may be
+	// reclaimable, from 0 to 1; 0 means 1.
+	ReclaimableShare float64 `json:"reclaimableShare,omitempty"`
 
 	self     control.Self
 	document *document.Document
@@ -70,6 +78,7 @@
 	_ control.Machine      = (*Machine)(nil)
 	_ control.StreamReader = (*Machine)(nil)
 	_ kernel.Provisioner   = (*Machine)(nil)
+	_ kernel.Validator     = (*Machine)(nil)
 )
 
 // ModuleInfo implements kernel.Module.
@@ -94,6 +103,17 @@
 	if m.Plan == nil {
 		m.Plan = plan.Solve
 	}
+	if m.ReclaimableShare == 0 {
+		m.ReclaimableShare = 1
+	}
+}
+
+// Validate implements kernel.Validator.
+func (m *Machine) Validate() error {
+	if m.ReclaimableShare < 0 || m.ReclaimableShare > 1 {
+		return eris.Wrap(ErrOptions, "reclaimableShare is not from 0 to 1")
+	}
+	return nil
 }
 
 // Streams implements control.StreamReader.
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -247,3 +247,18 @@
 		}
 	})
 }
+
+func TestSwitchToACheaperZoneKeepsTheCapacity(t *testing.T) {
+	s := newSite(nil)
+	s.requests = 90
+	s.run(20 * time.Minute)
+	before := total(s.warm())
+	s.doc.Zone("bkk-c").Prices[document.Reclaimable] = 1.9
+	s.doc.Zone("bkk-d").Prices[document.Reclaimable] = 0.2
+	started := s.starts
+	for range 30 {
+		s.run(time.Minute)
+		require.GreaterOrEqual(t, total(s.warm()), before)
+	}
+	require.Greater(t, s.starts, started, "hosts move to the cheaper zone")
+}
--- a/internal/control/fleet/planning.go
+++ b/internal/control/fleet/planning.go
@@ -21,8 +21,6 @@
 	// targetUse is the share of an upstream's slots in use at which it still
 	// meets its latency target.
 	targetUse = 0.7
-	// reclaimableShare bounds the share of hosts that may be reclaimed.
-	reclaimableShare = 0.67
 	// maxChange bounds the hosts in one entry.
 	maxChange = 50
 	// recomputeHours prices the tokens computed again after a reclaim, in hours
@@ -221,7 +219,9 @@
 	needed := int(math.Ceil(float64(c.demand.peak()) / (targetUse * float64(c.service.Upstream.MaxInFlight))))
 	for _, part := range m.parts(c, needed) {
 		request, running := m.request(now, c, state, lost, part)
-		fleet := m.Plan(request)
+		fleet := m.solve(c, part.version, request)
+		spare := m.ready(now, c, state, running) + fixedHosts(request) - fleet.Total()
+		var extra []string
 		for _, offer := range request.Offers {
 			count := fleet.Hosts[offer.Slot] - offer.Fixed
 			ids := running[offer.Slot]
@@ -229,13 +229,82 @@
 				want = append(want, c.newHost(part.version, offer.Slot))
 			}
 			if count < len(ids) {
-				surplus = append(surplus, ids[max(0, count):]...)
+				extra = append(extra, ids[max(0, count):]...)
 			}
 		}
+		surplus = append(surplus, m.spareOf(now, c, state, extra, spare)...)
 	}
 	return want, surplus
 }
 
+func fixedHosts(request plan.Request) int {
+	sum := 0
+	for _, offer := range request.Offers {
+		sum += offer.Fixed
+	}
+	return sum
+}
+
+// ready counts the hosts that are warm.
+func (m *Machine) ready(now time.Time, c *controller, state Service, running map[plan.Slot][]string) int {
+	count := 0
+	for _, ids := range running {
+		for _, id := range ids {
+			if c.isReady(now, state.Wanted[id]) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// isReady reports whether a host had the time of a cold start since it was
+// listed and, if it is an engine, since its weights were ordered.
+func (c *controller) isReady(now time.Time, host Host) bool {
+	p := c.progress(host.ID)
+	up := p.listed && !p.gone && (host.Loaded || c.service.Kind != document.KindEngine)
+	if !up {
+		return false
+	}
+	if p.up.IsZero() {
+		p.up = now
+	}
+	return now.Sub(p.up) >= c.service.Upstream.ColdStart.D()
+}
+
+// spareOf returns those of the extra hosts that may go while the hosts that
+// are to take their place are not warm: the cold ones and as many warm ones as
+// there are to spare.
+func (m *Machine) spareOf(now time.Time, c *controller, state Service, extra []string, spare int) []string {
+	var ids []string
+	for _, id := range extra {
+		if c.isReady(now, state.Wanted[id]) {
+			if spare <= 0 {
+				continue
+			}
+			spare--
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// solved is the newest plan of a version.
+type solved struct {
+	request plan.Request
+	fleet   plan.Fleet
+}
+
+// solve plans a version, or returns the last plan if nothing has changed.
+func (m *Machine) solve(c *controller, version string, request plan.Request) plan.Fleet {
+	if last, known := c.solved[version]; known && last.request.Equal(&request) {
+		return last.fleet
+	}
+	fleet := m.Plan(request)
+	c.solved[version] = solved{request: request, fleet: fleet}
+	return fleet
+}
+
 // newHost names a host. The fencing token and a number make its ID unique.
 func (c *controller) newHost(version string, slot plan.Slot) Host {
 	c.sequence++
@@ -310,13 +379,10 @@
 func (m *Machine) request(now time.Time, c *controller, state Service, lost map[string]bool, p part) (plan.Request, map[plan.Slot][]string) {
 	fixed, running := m.present(c, state, lost, p.version)
 	request := plan.Request{
-		Needed: p.needed, Min: p.min, Max: p.max, ReclaimableShare: reclaimableShare,
+		Needed: p.needed, Min: p.min, Max: p.max, ReclaimableShare: m.ReclaimableShare,
 		ReclaimHours: recomputeHours + c.service.Upstream.ColdStart.D().Hours(),
 		SwitchHours:  c.service.Upstream.ColdStart.D().Hours() / horizonHours,
 	}
-	if p.needed == 0 {
-		request.ReclaimableShare = 1
-	}
 	for _, zone := range m.document.AvailabilityZones {
 		if zone.State != document.ZoneIn {
 			continue
--- a/internal/control/rollout/rollout.go
+++ b/internal/control/rollout/rollout.go
@@ -9,6 +9,7 @@
 package rollout
 
 import (
+	"maps"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -40,6 +41,8 @@
 
 	ask     asking
 	written time.Time
+	// published is nil when it has to be computed anew.
+	published *published
 }
 
 // move is what this host knows of one move beside the log.
@@ -94,6 +97,9 @@
 
 // Step implements control.Machine.
 func (m *Machine) Step(now time.Time, in control.Input) []control.Output {
+	if changesShares(in) {
+		m.published = nil
+	}
 	switch in := in.(type) {
 	case control.Configured:
 		m.configured(now, in)
@@ -135,6 +141,18 @@
 	return nil
 }
 
+// changesShares reports whether an input may change what is published. The
+// frequent ones do not; a retreat shows at the next Tick at the latest.
+func changesShares(in control.Input) bool {
+	switch in := in.(type) {
+	case control.AttemptEnded, control.Demand, control.LoadReported, control.CacheChanged:
+		return false
+	case control.Heard:
+		return in.Message.GetRetreat() != nil || in.Message.GetRolloutState() != nil
+	}
+	return true
+}
+
 // configured finds the moves that a document asks for. Evidence of a move that
 // did not change is kept.
 func (m *Machine) configured(now time.Time, in control.Configured) {
@@ -217,23 +235,40 @@
 	return []control.Output{control.Raise{Input: changed}}
 }
 
-// Publish implements control.Machine.
+// published is this machine's part of a snapshot.
+type published struct {
+	shares   map[control.RouteKey][]control.VersionShare
+	rollouts []control.Rollout
+}
+
+// Publish implements control.Machine. The parts are computed anew when an
+// input came that may change them, at least at each Tick.
 func (m *Machine) Publish(now time.Time, next *control.Snapshot) {
 	if m.document == nil {
 		return
 	}
+	if m.published == nil {
+		m.published = m.compute(now)
+	}
+	maps.Copy(next.Shares, m.published.shares)
+	next.Rollouts = m.published.rollouts
+}
+
+func (m *Machine) compute(now time.Time) *published {
+	p := &published{shares: map[control.RouteKey][]control.VersionShare{}}
 	for i := range m.document.Services {
 		service := &m.document.Services[i]
-		result := shares(now, m.views(service, next))
+		result := shares(now, m.views(service, p))
 		for _, route := range service.Routes {
-			next.Shares[control.RouteKey{Service: service.Name, Route: route.Name}] = result
+			p.shares[control.RouteKey{Service: service.Name, Route: route.Name}] = result
 		}
 	}
+	return p
 }
 
 // views gathers what the shares of a service depend on and adds its moves to
-// the snapshot.
-func (m *Machine) views(service *document.Service, next *control.Snapshot) []versionView {
+// what is published.
+func (m *Machine) views(service *document.Service, p *published) []versionView {
 	views := make([]versionView, 0, len(service.Versions))
 	for _, version := range service.Versions {
 		ref := Ref{Service: service.Name, Version: version.Name}
@@ -242,7 +277,7 @@
 			status := m.status(mv)
 			view.moving = &status
 			view.back = mv.back != "" && status.Phase != control.RolloutDone
-			next.Rollouts = append(next.Rollouts, rolloutOf(mv, status))
+			p.rollouts = append(p.rollouts, rolloutOf(mv, status))
 		}
 		views = append(views, view)
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -49,6 +49,13 @@
 	Offers      []Offer
 }
 
+// Equal reports whether two requests are the same.
+func (r *Request) Equal(other *Request) bool {
+	return r.Needed == other.Needed && r.Min == other.Min && r.Max == other.Max &&
+		r.ReclaimableShare == other.ReclaimableShare && r.ReclaimHours == other.ReclaimHours &&
+		r.SwitchHours == other.SwitchHours && slices.Equal(r.Offers, other.Offers)
+}
+
 // Fleet is the number of hosts in each slot.
 type Fleet struct {
 	Hosts map[Slot]int
