--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -124,6 +124,9 @@
 	return s, nil
 }
 
+// PlatformAddress returns the address of the platform's stand-ins.
+func (s *System) PlatformAddress() string { return s.platform }
+
 // serve runs an HTTP server on a free port and returns its address.
 func (s *System) serve(name string, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", loopback)
