--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -181,9 +181,11 @@
 		require.Len(t, c.Store.Runs(), 1)
 	})
 
-	t.Run("a frozen process is no longer named, and is again once it goes on", func(t *testing.T) {
+	t.Run("a frozen process is no longer named, and is again once it goes on", func(*testing.T) {
 		third.signal(syscall.SIGSTOP)
-		c.await(func() bool { return !slices.Contains(c.named(first), third.id) && !slices.Contains(c.named(second), third.id) })
+		c.await(func() bool {
+			return !slices.Contains(c.named(first), third.id) && !slices.Contains(c.named(second), third.id)
+		})
 		third.signal(syscall.SIGCONT)
 		c.await(func() bool { return len(c.named(first)) == 3 && len(c.named(third)) == 3 })
 	})
@@ -207,7 +209,7 @@
 		require.Equal(t, http.StatusOK, status, body)
 		runs := len(c.Store.Runs())
 		first.signal(syscall.SIGKILL)
-		<-first.done
+		require.Error(t, <-first.done, "the process was to be killed")
 		c.await(func() bool {
 			again, same := c.book(last, "bo-monday")
 			return again == http.StatusOK && same == body
