Take a request off a new version that has no room for it

On hosts with a failing new version 4 of 35 runs of TestBadVersionIsLeftOnRealHostsWhileTheLogIsDown lost questions to their deadline: a retry drew the new version again though all its upstreams were excluded, and requests waited for its upstreams while their breakers or limits left no room. A request now goes to a proved version in both cases; two tests of the router fail without it.

A detector's stake ran out after 2,048 blocks, so a version that turned bad in a move of an hour or more would not have been found.

--- a/internal/control/rollout/bed_test.go
+++ b/internal/control/rollout/bed_test.go
@@ -77,6 +77,30 @@
 	return sum
 }
 
+// loadUntilLeft sends questions until no host gives the new version a share.
+// The upstreams' breakers keep most attempts from bad upstreams, so evidence
+// comes slowly.
+func loadUntilLeft(t *testing.T, bed *testbed.Bed) {
+	t.Helper()
+	key := control.RouteKey{Service: "advice", Route: "menu"}
+	given := func() float64 {
+		highest := 0.0
+		for _, n := range bed.Nodes {
+			for _, s := range n.Loop().Snapshot().Shares[key] {
+				if s.Version == "v2" {
+					highest = max(highest, s.Share)
+				}
+			}
+		}
+		return highest
+	}
+	require.Positive(t, given(), "the move has begun")
+	for end := time.Now().Add(90 * time.Second); given() > 0; {
+		require.True(t, time.Now().Before(end), "the bad version still has a share")
+		load(t, bed, 5*time.Second)
+	}
+}
+
 func requirePhase(t *testing.T, bed *testbed.Bed, phase control.RolloutPhase) {
 	t.Helper()
 	for _, n := range bed.Nodes {
@@ -108,7 +132,8 @@
 		for _, id := range ids {
 			bed.Engines[id].SetFault(standin.EngineFault{FailShare: 0.7})
 		}
-		load(t, bed, 40*time.Second)
+		loadUntilLeft(t, bed)
+		time.Sleep(2 * time.Second)
 		requirePhase(t, bed, control.RolloutTakenBack)
 		before := started(bed, ids)
 		load(t, bed, 5*time.Second)
@@ -125,13 +150,14 @@
 		for _, id := range ids {
 			bed.Engines[id].SetFault(standin.EngineFault{FailShare: 0.7})
 		}
-		load(t, bed, 40*time.Second)
+		loadUntilLeft(t, bed)
 		before := started(bed, ids)
 		load(t, bed, 5*time.Second)
 		require.Equal(t, before, started(bed, ids), "nothing more goes to the bad version")
 		requirePhase(t, bed, control.RolloutMoving)
 		bed.Log.SetDown(false)
 		time.Sleep(10 * time.Second)
+		time.Sleep(2 * time.Second)
 		requirePhase(t, bed, control.RolloutTakenBack)
 	})
 }
--- a/internal/control/rollout/evidence.go
+++ b/internal/control/rollout/evidence.go
@@ -35,6 +35,10 @@
 	// lostInterval is the time in which an upstream that breaks attempts off
 	// counts once.
 	lostInterval = 5 * time.Second
+	// blockInterval is the least time between two blocks of the tests.
+	blockInterval = time.Second
+	// minBlocks is the least number of blocks that the tests are made for.
+	minBlocks = 60
 )
 
 // arms holds the counts of both versions on one route. Late counts only
@@ -63,8 +67,11 @@
 type evidence struct {
 	move   Move
 	step   int
-	pool   proof
-	routes map[string]*routeEvidence
+	blocks int
+	// flushed is when the newest block was made.
+	flushed time.Time
+	pool    proof
+	routes  map[string]*routeEvidence
 	// lost holds when each upstream last counted as lost.
 	lost map[string]time.Time
 	// attempts counts both versions since began.
@@ -101,7 +108,7 @@
 
 func newEvidence(move Move, now time.Time) *evidence {
 	return &evidence{
-		move: move, pool: newProof(), routes: map[string]*routeEvidence{},
+		move: move, blocks: max(minBlocks, int(move.By.Sub(now)/blockInterval)), pool: newProof(), routes: map[string]*routeEvidence{},
 		lost: map[string]time.Time{}, began: now,
 	}
 }
@@ -110,9 +117,9 @@
 	r := e.routes[name]
 	if r == nil {
 		r = &routeEvidence{
-			failures: sequential.NewDetector(failureMargin),
-			lateness: sequential.NewDetector(lateMargin),
-			cold:     sequential.NewDetector(coldMargin),
+			failures: sequential.NewDetector(failureMargin, e.blocks),
+			lateness: sequential.NewDetector(lateMargin, e.blocks),
+			cold:     sequential.NewDetector(coldMargin, e.blocks),
 		}
 		e.routes[name] = r
 	}
@@ -140,6 +147,14 @@
 	e.add(route, candidate, outcome{failed: 1})
 }
 
+// tick makes a block of what has come in, no more often than blockInterval.
+func (e *evidence) tick(now time.Time) {
+	if now.Sub(e.flushed) >= blockInterval {
+		e.flushed = now
+		e.flush()
+	}
+}
+
 // at starts the step's proof anew when the move has come to another step.
 func (e *evidence) at(step int) {
 	if e.step == step {
--- a/internal/control/rollout/exchange.go
+++ b/internal/control/rollout/exchange.go
@@ -58,8 +58,8 @@
 	mv.own.at(status.Step)
 	mv.all.at(status.Step)
 	outs := m.summarize(now, mv)
-	mv.own.flush()
-	mv.all.flush()
+	mv.own.tick(now)
+	mv.all.tick(now)
 	aggregates := mv.aggregator == m.self.ID
 	shown := mv.back
 	if shown == "" {
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -221,7 +221,7 @@
 }
 
 // drawVersion draws a version by the shares in force, among those that have an
-// open upstream.
+// upstream for the query.
 func (c *Core) drawVersion(q Query) string {
 	shares := c.snapshot.Shares[control.RouteKey{Service: q.Service, Route: q.Route}]
 	if len(shares) == 1 {
@@ -229,13 +229,13 @@
 	}
 	total := 0.0
 	for _, s := range shares {
-		if c.versionOpen(q.Service, s.Version) {
+		if c.versionOpen(q, s.Version) {
 			total += s.Share
 		}
 	}
 	draw := c.rand.Float64() * total
 	for _, s := range shares {
-		if !c.versionOpen(q.Service, s.Version) {
+		if !c.versionOpen(q, s.Version) {
 			continue
 		}
 		if draw -= s.Share; draw < 0 {
@@ -245,9 +245,11 @@
 	return ""
 }
 
-func (c *Core) versionOpen(service, version string) bool {
-	for _, u := range c.snapshot.Upstreams[service] {
-		if u.Open && u.Version == version {
+// versionOpen reports whether a version has an open upstream that the query
+// does not exclude.
+func (c *Core) versionOpen(q Query, version string) bool {
+	for _, u := range c.snapshot.Upstreams[q.Service] {
+		if u.Open && u.Version == version && !q.Exclude[u.ID] {
 			return true
 		}
 	}
@@ -261,7 +263,7 @@
 	}
 	key := control.RouteKey{Service: p.query.Service, Route: p.query.Route}
 	for _, s := range c.snapshot.Shares[key] {
-		if s.Version == p.version && s.Share > 0 && c.versionOpen(p.query.Service, p.version) {
+		if s.Version == p.version && s.Share > 0 && c.versionOpen(p.query, p.version) {
 			return
 		}
 	}
@@ -335,10 +337,47 @@
 	coldForBatch = -0.25
 )
 
-// choose compares a few free upstreams, from a random one on, and those that
-// are likely to have the request's prefix in their cache.
+// choose returns an upstream for a request, or nil if none is free. A request
+// for a version that is not proved yet and has no free upstream goes to a
+// proved one.
 func (c *Core) choose(now time.Time, p *pending) *control.Upstream {
 	c.keepVersion(p)
+	u := c.chooseOf(now, p)
+	if u != nil || p.query.Version != "" || !c.moving(p.query.Service, p.version) {
+		return u
+	}
+	if proved := c.provedVersion(p.query); proved != "" {
+		p.version = proved
+		return c.chooseOf(now, p)
+	}
+	return nil
+}
+
+// moving reports whether a version is not proved yet.
+func (c *Core) moving(service, version string) bool {
+	for _, r := range c.snapshot.Rollouts {
+		if r.Service == service && r.Version == version {
+			return r.Phase != control.RolloutDone
+		}
+	}
+	return false
+}
+
+// provedVersion returns the proved version with the largest share that has an
+// upstream for the query, or an empty string.
+func (c *Core) provedVersion(q Query) string {
+	best, share := "", 0.0
+	for _, s := range c.snapshot.Shares[control.RouteKey{Service: q.Service, Route: q.Route}] {
+		if s.Share > share && !c.moving(q.Service, s.Version) && c.versionOpen(q, s.Version) {
+			best, share = s.Version, s.Share
+		}
+	}
+	return best
+}
+
+// chooseOf compares a few free upstreams of the request's version, from a
+// random one on, and those that are likely to have its prefix in their cache.
+func (c *Core) chooseOf(now time.Time, p *pending) *control.Upstream {
 	list := c.snapshot.Upstreams[p.query.Service]
 	if len(list) == 0 {
 		return nil
--- a/internal/route/core_test.go
+++ b/internal/route/core_test.go
@@ -243,3 +243,37 @@
 	require.Equal(t, 4, u.LimitAt(start.Add(-time.Millisecond)))
 	require.Equal(t, 1, u.LimitAt(start))
 }
+
+// moving returns a snapshot in which all requests but few go to v2, which is
+// not proved and has one upstream.
+func moving(list []*control.Upstream) *control.Snapshot {
+	s := snapshot(list)
+	list[0].Version = "v2"
+	s.Shares[control.RouteKey{Service: "s", Route: "r"}] = []control.VersionShare{
+		{Version: "v1", Share: 0.01}, {Version: "v2", Share: 0.99},
+	}
+	s.Rollouts = []control.Rollout{{Service: "s", Version: "v2", Phase: control.RolloutMoving}}
+	return s
+}
+
+func TestRequestLeavesANewVersionThatHasNoRoom(t *testing.T) {
+	core := NewCore(1)
+	list := upstreams(3, 4)
+	core.Update(start, moving(list))
+	for id := range uint64(12) {
+		require.Len(t, core.Arrive(start, id, query("small", document.ClassStandard)), 1, "request %d waits", id)
+	}
+}
+
+func TestRetryLeavesAVersionWhoseUpstreamsAllFailed(t *testing.T) {
+	core := NewCore(1)
+	list := upstreams(3, 40)
+	core.Update(start, moving(list))
+	for id := range uint64(40) {
+		q := query("small", document.ClassStandard)
+		q.Exclude = map[string]bool{list[0].ID: true}
+		out := core.Arrive(start, id, q)
+		require.Len(t, out, 1)
+		require.Equal(t, "v1", out[0].Upstream.Version)
+	}
+}
--- a/internal/sequential/sequential_test.go
+++ b/internal/sequential/sequential_test.go
@@ -29,7 +29,7 @@
 	count := 0
 	for seed := range uint64(runs) {
 		r := rand.New(rand.NewPCG(seed, 7))
-		d := sequential.NewDetector(0.01)
+		d := sequential.NewDetector(0.01, blocks)
 		for i := range blocks {
 			d.Add(sequential.Block{Control: draw(r, 20, control(i)), Candidate: draw(r, 2, candidate(i))})
 			if d.Evidence() >= level {
