Hold connections that die at any byte, and try returning upstreams again

A call that every upstream had refused once waited out its deadline, because all of them stayed excluded; where no other upstream takes it within half a second, all may be tried again. Answers that do not tell their length, or are longer than the bound, were taken as whole; they are lost now.

--- a/internal/claim/faults_test.go
+++ b/internal/claim/faults_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/marigoldmux/marigoldmux/internal/standin"
+	"github.com/marigoldmux/marigoldmux/internal/testbed"
 )
 
 // envSchedules sets the number of schedules of each pair of faults.
@@ -113,12 +114,14 @@
 }
 
 func upstreamDown(h *history, _ *rand.Rand) {
-	for _, p := range h.bed.Plains {
-		p.SetDown(true)
-	}
+	setPlainsDown(h.bed, true)
 	time.Sleep(faultLength / 2)
-	for _, p := range h.bed.Plains {
-		p.SetDown(false)
+	setPlainsDown(h.bed, false)
+}
+
+func setPlainsDown(bed *testbed.Bed, down bool) {
+	for _, p := range bed.Plains {
+		p.SetDown(down)
 	}
 }
 
--- a/internal/claim/outage_test.go
+++ b/internal/claim/outage_test.go
@@ -60,6 +60,7 @@
 // TestLogOutage books through an outage of the log service of 10 minutes and
 // repeats all calls, at other hosts, after it.
 func TestLogOutage(t *testing.T) {
+	t.Parallel()
 	onBed(t, 7, func(h *history, random *rand.Rand) {
 		h.bed.Log.SetDown(true)
 		var own []string
@@ -111,6 +112,43 @@
 	return node.Do(context.Background(), http.MethodGet, "/v1/keys/"+key, "", map[string]string{entry.HeaderCustomer: "web-chat"}).Code
 }
 
+// TestHolderDiesInTheCall kills a host while an upstream runs its call. Nobody
+// has the answer, and nobody may say that the call did not run.
+func TestHolderDiesInTheCall(t *testing.T) {
+	for _, withTicket := range []bool{true, false} {
+		onBed(t, 14, func(h *history, random *rand.Rand) {
+			key := h.ownKeys(random)()
+			holder := h.homeOf(key)
+			if withTicket {
+				key = h.ticket(holder, "")
+			}
+			var work sync.WaitGroup
+			work.Go(func() { h.book(holder, key, callerTimeout) })
+			time.Sleep(10 * time.Millisecond)
+			holder.Kill()
+			h.bed.List.Remove(holder.Self().ID)
+			time.Sleep(10 * time.Second)
+			for _, node := range h.bed.Living() {
+				require.Equal(t, request.Unknown, h.book(node, key, callerTimeout).outcome)
+			}
+			work.Wait()
+			require.Len(t, h.runs()[key], 1)
+			h.check()
+		})
+	}
+}
+
+// homeOf returns the host at which the claims of a caller's key meet.
+func (h *history) homeOf(key string) *testbed.Node {
+	for _, node := range h.bed.Living() {
+		if node.Claims().Home(claim.Scoped(key, "web-chat")) == node.Self().ID {
+			return node
+		}
+	}
+	h.t.Fatal("no host is home")
+	return nil
+}
+
 // TestStoppedHostsTicketsDidNotRun stops a host before its tickets are used.
 func TestStoppedHostsTicketsDidNotRun(t *testing.T) {
 	for _, logDown := range []bool{false, true} {
@@ -133,6 +171,7 @@
 // TestPausedHolderRunsItsCallAlone pauses the host that holds a key, past any
 // lease, while callers repeat the call everywhere.
 func TestPausedHolderRunsItsCallAlone(t *testing.T) {
+	t.Parallel()
 	onBed(t, 10, func(h *history, random *rand.Rand) {
 		for range 10 {
 			holder := h.live(random)
@@ -170,9 +209,22 @@
 	})
 }
 
+// TestUpstreamsComeBackInTime stops all upstreams for less than the deadline.
+func TestUpstreamsComeBackInTime(t *testing.T) {
+	onBed(t, 13, func(h *history, random *rand.Rand) {
+		setPlainsDown(h.bed, true)
+		time.AfterFunc(3*time.Second, func() { setPlainsDown(h.bed, false) })
+		for _, key := range []string{h.ownKeys(random)(), h.tickets(random)()} {
+			require.Equal(t, request.Answer, h.book(h.live(random), key, callerTimeout).outcome)
+		}
+		h.check()
+	})
+}
+
 // TestAppendsPerBooking reports how many appends a booking costs at several
 // rates, over all hosts.
 func TestAppendsPerBooking(t *testing.T) {
+	t.Parallel()
 	t.Logf("%-12s %12s %12s %18s", "keys", "bookings/s", "appends/s", "appends/booking")
 	for _, rate := range []int{1, 10, 100, 400} {
 		for name, newKey := range map[string]func(*history, *rand.Rand) func() string{
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -7,6 +7,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/ticket"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 )
@@ -18,6 +19,8 @@
 	holderWait = 2 * time.Second
 	// goneAfter is how long a holder that is not live is looked for.
 	goneAfter = 2 * time.Second
+	// roundWait is how long a call waits for upstreams that have not failed it.
+	roundWait = 500 * time.Millisecond
 )
 
 // Relay passes calls that must run at most once to other hosts.
@@ -128,7 +131,7 @@
 func (d *Dispatcher) dispatchOnce(ctx context.Context, call *Call) request.Result {
 	failed := map[string]bool{}
 	for {
-		lease, end := d.acquire(ctx, call, failed)
+		lease, end := d.acquireAgain(ctx, call, failed)
 		if end != nil {
 			d.opts.Claims.Release(call.onceKey())
 			end.Outcome = request.NotRun
@@ -138,16 +141,34 @@
 		if err == nil {
 			return d.complete(call, plainResult(answer))
 		}
-		switch kind := upstream.KindOf(err); kind {
+		switch upstream.KindOf(err) {
 		case upstream.NotSent, upstream.Refused:
 			failed[lease.Upstream.ID] = true
 			d.counters.Retried.Add(1)
+		case upstream.Faulted, upstream.Invalid:
+			return d.complete(call, request.Result{Outcome: request.Unknown, Reason: request.ReasonUpstreamFailed})
 		default:
 			return d.complete(call, request.Result{Outcome: request.Unknown, Reason: request.ReasonUpstreamLost})
 		}
 	}
 }
 
+// acquireAgain gets an upstream for a call that the given upstreams refused or
+// did not get. Where no other takes it within a while, all may be tried again.
+func (d *Dispatcher) acquireAgain(ctx context.Context, call *Call, failed map[string]bool) (*route.Lease, *request.Result) {
+	if len(failed) == 0 {
+		return d.acquire(ctx, call, failed)
+	}
+	roundCtx, cancel := context.WithTimeout(ctx, roundWait)
+	defer cancel()
+	lease, end := d.acquire(roundCtx, call, failed)
+	if lease != nil || ctx.Err() != nil || end.Reason != request.ReasonDeadline {
+		return lease, end
+	}
+	clear(failed)
+	return d.acquire(ctx, call, failed)
+}
+
 func (d *Dispatcher) complete(call *Call, result request.Result) request.Result {
 	d.opts.Claims.Complete(call.onceKey(), result)
 	return result
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -186,6 +186,9 @@
 // Dispatcher returns the host's dispatcher.
 func (h *Host) Dispatcher() *dispatch.Dispatcher { return h.dispatcher }
 
+// Claims returns the host's claims.
+func (h *Host) Claims() *claim.Store { return h.claims }
+
 // Handler returns the host's HTTP interface.
 func (h *Host) Handler() http.Handler { return h.echo }
 
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,8 +17,14 @@
 // HeaderRequestID carries the request's ID to the upstream and back.
 const HeaderRequestID = "X-Request-Id"
 
+// maxBody bounds an answer, in bytes.
 const maxBody = 16 << 20
 
+var (
+	errNoLength = errors.New("the answer does not tell its length")
+	errTooLong  = fmt.Errorf("the answer is longer than %d bytes", maxBody)
+)
+
 // Call is one call of a plain service.
 type Call struct {
 	// RequestID is echoed by the upstream, so that crossed answers show.
@@ -66,7 +73,7 @@
 		return Answer{}, upstream.Classify(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	body, err := readWhole(resp)
 	if err != nil {
 		return Answer{}, &upstream.Failure{Kind: upstream.Lost, Err: err}
 	}
@@ -83,3 +90,16 @@
 	}
 	return answer, nil
 }
+
+// readWhole returns the body of an answer. A body that may have been cut is an
+// error.
+func readWhole(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errNoLength
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errTooLong
+	}
+	return body, err
+}
