Bound the hosts that report to the aggregator of a move

At 710 hosts and 3 routes summaries of every host would bring the aggregator about 16 KB/s where control may cost 6, or come once a minute. Twenty hosts report; the others test their own attempts. TestFewHostsOfALargeDeploymentReport: 5,206 bytes every 2 s.

--- a/internal/control/rollout/gather.go
+++ b/internal/control/rollout/gather.go
@@ -10,11 +10,14 @@
 	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
 )
 
-// hostsPerSecond bounds the summaries that an aggregator gets: hosts send less
-// often where there are more of them, but at least minSummary apart.
+// maxReporters bounds the hosts that send summaries of a move, so that the
+// aggregator of a large deployment stays within the budget of control; the
+// others look at their own attempts only. Each reporter sends once in a
+// summaryInterval, the more of them the longer.
 const (
-	hostsPerSecond = 30
-	minSummary     = time.Second
+	maxReporters       = 20
+	reportersPerSecond = 10
+	minSummary         = time.Second
 )
 
 // tally is what this host counted for a move since its last summary.
@@ -121,7 +124,8 @@
 
 // summaryInterval is the time between two summaries of a host.
 func (m *Machine) summaryInterval() time.Duration {
-	return max(minSummary, time.Duration(len(m.members))*time.Second/hostsPerSecond)
+	reporters := min(len(m.members), maxReporters)
+	return max(minSummary, time.Duration(reporters)*time.Second/reportersPerSecond)
 }
 
 // summarize sends what was counted to the aggregator, or counts it here.
@@ -132,6 +136,9 @@
 	mv.tally.sent = now
 	var outs []control.Output
 	for _, summary := range mv.summaries() {
+		if !mv.reports {
+			break
+		}
 		if mv.aggregator == m.self.ID {
 			mv.collect(now, summary)
 			continue
--- a/internal/control/rollout/rollout.go
+++ b/internal/control/rollout/rollout.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -57,6 +58,8 @@
 	tally    tally
 	// aggregator is the ID of the host that gathers the evidence.
 	aggregator string
+	// reports tells that this host sends summaries.
+	reports bool
 	// back is why this host has taken the version back, empty if it has not.
 	back      string
 	backSince time.Time
@@ -107,7 +110,7 @@
 	case control.MembersChanged:
 		m.members = in.Hosts
 		for _, mv := range m.moves {
-			mv.aggregator = m.aggregator(mv.ref)
+			m.assign(mv)
 		}
 	case control.HostsListed:
 		m.hostsListed(in.List)
@@ -172,11 +175,13 @@
 				moves[ref] = known
 				continue
 			}
-			moves[ref] = &move{
+			mv := &move{
 				ref: ref, move: wanted, config: in.Offset,
 				own: newEvidence(wanted, now), all: newEvidence(wanted, now),
-				aggregator: m.aggregator(ref), seen: map[string]uint64{},
+				seen: map[string]uint64{},
 			}
+			m.assign(mv)
+			moves[ref] = mv
 		}
 	}
 	m.moves = moves
@@ -215,15 +220,19 @@
 	return m.fold.State().Status(mv.ref, mv.move, mv.config)
 }
 
-// aggregator returns the host that gathers the evidence of a move.
-func (m *Machine) aggregator(ref Ref) string {
+// assign chooses the host that gathers the evidence of a move, and those that
+// send it summaries: the first of the live hosts in an order that differs from
+// move to move.
+func (m *Machine) assign(mv *move) {
 	candidates := []string{m.self.ID}
 	for _, host := range m.members {
 		if !host.Leaving && host.ID != m.self.ID {
 			candidates = append(candidates, host.ID)
 		}
 	}
-	return rendezvous.First(ref.Service+"/"+ref.Version, candidates)
+	order := rendezvous.Order(mv.ref.Service+"/"+mv.ref.Version, candidates)
+	mv.aggregator = order[0]
+	mv.reports = slices.Contains(order[:min(maxReporters, len(order))], m.self.ID)
 }
 
 // raise tells the other machines how far the moves are.
--- a/internal/control/rollout/rollout_test.go
+++ b/internal/control/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -205,3 +206,32 @@
 	apply(rollout.Entry{Move: first, Config: 3, Phase: control.RolloutMoving, To: 2})
 	require.Equal(t, 1, state.Status(ref, second, 9).Step, "a host with an older configuration changes nothing")
 }
+
+func TestFewHostsOfALargeDeploymentReport(t *testing.T) {
+	const hosts = 710
+	w := newWorld(good, 1)
+	var changed control.MembersChanged
+	for i := range hosts {
+		changed.Hosts = append(changed.Hosts, control.EntryHost{ID: nodeID(i)})
+	}
+	receivers, bytes := map[string]int{}, 0
+	for i := range hosts {
+		m := &rollout.Machine{}
+		m.Init(control.Self{ID: nodeID(i), Incarnation: "a"})
+		m.Step(w.now, control.Configured{Offset: 1, Document: w.document()})
+		m.Step(w.now, changed)
+		for _, route := range routeNames {
+			m.Step(w.now, control.AttemptEnded{Service: service, Route: route, Version: oldVersion})
+			m.Step(w.now, control.AttemptEnded{Service: service, Route: route, Version: newVersion})
+		}
+		for _, out := range m.Step(w.now.Add(time.Minute), control.Tick{}) {
+			if tell, ok := out.(control.Tell); ok && tell.Message.GetAttempts() != nil {
+				receivers[tell.To]++
+				bytes += proto.Size(tell.Message)
+			}
+		}
+	}
+	require.Len(t, receivers, 1, "one aggregator")
+	t.Logf("an aggregator gets %d bytes every 2 s", bytes)
+	require.Less(t, bytes/2, 6000, "bytes a second at the aggregator")
+}
