Test the replacement of reclaimed hosts on hosts with all modules

The bed's cloud API can now start stand-ins, as an option, so that other tests keep theirs. A zone's hosts get notice: others are listed within 10 s, before it ends, nothing is started while enough are listed, and callers are answered afterwards.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -25,6 +25,7 @@
 
 	// The hosts under test have all modules.
 	_ "github.com/marigoldmux/marigoldmux/internal/modules"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
@@ -48,6 +49,9 @@
 	Engine standin.EngineOptions
 	// PlainDelay is the time that a plain service takes for a call.
 	PlainDelay time.Duration
+	// StartHosts makes the cloud API start stand-ins; else it accepts starts
+	// that lead to nothing.
+	StartHosts bool
 	// Secret is the deployment's shared secret.
 	Secret []byte
 	// Modules holds the options of modules by their ID.
@@ -103,6 +107,9 @@
 		t:       t, opts: opts, document: doc,
 		cuts: map[[2]string]bool{},
 	}
+	if opts.StartHosts {
+		b.Cloud = standin.NewCloud(b.cloudStart, b.List.Remove)
+	}
 	b.startUpstreams()
 	b.Publish(config.NoBase, opts.Config)
 	for i := range opts.Hosts {
@@ -144,6 +151,18 @@
 
 // AddUpstream starts an upstream and lists it. Its address is its ID.
 func (b *Bed) AddUpstream(id string, service *document.Service, version, zone string, seed uint64) {
+	b.addUpstream(id, service, version, zone, document.Reclaimable, seed)
+}
+
+// cloudStart starts the upstream that the cloud API was asked for.
+func (b *Bed) cloudStart(req cloud.StartRequest) {
+	service := b.document.Service(req.Service)
+	b.addUpstream(req.ID, service, req.Version, req.Zone, req.Class, b.opts.Seed)
+}
+
+func (b *Bed) addUpstream(id string, service *document.Service, version, zone string, class document.HostClass, seed uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if service.Kind == document.KindEngine {
 		opts := b.opts.Engine
 		opts.Version = version
@@ -157,7 +176,7 @@
 	}
 	b.List.Put(hostlist.Host{
 		ID: id, Role: hostlist.RoleUpstream, Address: id, Zone: zone,
-		Class: document.Reclaimable, Service: service.Name, Version: version,
+		Class: class, Service: service.Name, Version: version,
 	})
 }
 
@@ -353,11 +372,15 @@
 
 // Engine implements dial.Dialer.
 func (d *dialer) Engine(address string) engine.Engine {
+	d.n.bed.mu.Lock()
+	defer d.n.bed.mu.Unlock()
 	return &gatedEngine{Engine: d.n.bed.Engines[address], n: d.n}
 }
 
 // Plain implements dial.Dialer.
 func (d *dialer) Plain(address string) plain.Service {
+	d.n.bed.mu.Lock()
+	defer d.n.bed.mu.Unlock()
 	return &gatedPlain{Service: d.n.bed.Plains[address], n: d.n}
 }
 
