--- a/internal/experiment/host.go
+++ b/internal/experiment/host.go
@@ -170,7 +170,7 @@
 	h.step(report)
 	q := a.job.query
 	h.take(h.router.Release(h.w.Now, route.Ended{
-		Service: service, Upstream: a.engine.id, Class: q.Class, Cost: q.Cost, Started: a.started,
+		Service: service, Upstream: a.engine.id, Customer: q.Customer, Class: q.Class, Cost: q.Cost, Started: a.started,
 	}))
 }
 
--- a/internal/route/balancer.go
+++ b/internal/route/balancer.go
@@ -106,7 +106,7 @@
 	if a.Err != nil {
 		return nil, a.Err
 	}
-	ended := Ended{Service: q.Service, Upstream: a.Upstream.ID, Class: q.Class, Cost: q.Cost, Started: time.Now()}
+	ended := Ended{Service: q.Service, Upstream: a.Upstream.ID, Customer: q.Customer, Class: q.Class, Cost: q.Cost, Started: time.Now()}
 	return &Lease{Upstream: a.Upstream, release: func() { b.free(ended) }}, nil
 }
 
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -20,10 +20,10 @@
 
 // Ended gives back what an Assignment gave out.
 type Ended struct {
-	Service, Upstream string
-	Class             document.Class
-	Cost              int
-	Started           time.Time
+	Service, Upstream, Customer string
+	Class                       document.Class
+	Cost                        int
+	Started                     time.Time
 }
 
 // Core decides which upstream takes which request. It does no I/O, starts no
@@ -274,10 +274,11 @@
 func (c *Core) assign(now time.Time, s *service, out []Assignment) []Assignment {
 	for len(s.waiting) > 0 {
 		free, slots := c.free(now, s.name)
+		s.slots = slots
 		if free == 0 {
 			return out
 		}
-		p, u := c.serveNext(now, s, slots)
+		p, u := c.serveNext(now, s, free)
 		if p == nil {
 			return out
 		}
@@ -306,13 +307,16 @@
 
 // serveNext takes the request that comes next off its queue and returns it
 // with its upstream; nil if none can be served.
-func (c *Core) serveNext(now time.Time, s *service, slots int) (*pending, *control.Upstream) {
+func (c *Core) serveNext(now time.Time, s *service, free int) (*pending, *control.Upstream) {
 	for _, class := range s.order() {
-		if !s.admits(class, slots) {
+		if !s.admits(class, s.slots) {
 			continue
 		}
 		var chosen *control.Upstream
 		it := s.queues[class].Serve(now, func(it *fairqueue.Item) bool {
+			if s.customers.yields(s.customers.get(it.Customer, 0), free, s.slots) {
+				return false
+			}
 			chosen = c.choose(now, s.waiting[it.ID])
 			return chosen != nil
 		})
--- a/internal/route/core_test.go
+++ b/internal/route/core_test.go
@@ -41,8 +41,8 @@
 	return Query{Service: "s", Route: "r", Customer: customer, Class: class, Cost: 10, Deadline: start.Add(time.Minute)}
 }
 
-func end(u *control.Upstream, class document.Class, started time.Time) Ended {
-	return Ended{Service: "s", Upstream: u.ID, Class: class, Cost: 10, Started: started}
+func end(u *control.Upstream, customer string, class document.Class, started time.Time) Ended {
+	return Ended{Service: "s", Upstream: u.ID, Customer: customer, Class: class, Cost: 10, Started: started}
 }
 
 // TestLimitsHold drives the core with random calls and checks that no upstream
@@ -66,7 +66,7 @@
 				inFlight[a.Upstream.ID]++
 				require.LessOrEqual(t, inFlight[a.Upstream.ID], a.Upstream.LimitAt(now))
 				require.True(t, a.Upstream.Open)
-				running = append(running, end(a.Upstream, document.ClassBatch, now))
+				running = append(running, end(a.Upstream, "small", document.ClassBatch, now))
 			}
 		}
 		for id := range uint64(rapid.IntRange(1, 120).Draw(t, "steps")) {
@@ -107,7 +107,11 @@
 	take := func(out []Assignment) {
 		for _, a := range out {
 			if a.Err == nil {
-				running = append(running, end(a.Upstream, document.ClassInteractive, now))
+				customer := "large"
+				if a.ID%2 == 0 {
+					customer = "small"
+				}
+				running = append(running, end(a.Upstream, customer, document.ClassInteractive, now))
 				ended[a.ID%2 == 0]++
 			}
 		}
@@ -165,12 +169,12 @@
 			if a.Err != nil {
 				continue
 			}
-			class := document.ClassInteractive
+			class, customer := document.ClassInteractive, "small"
 			if a.ID >= 1000 {
-				class = document.ClassBatch
+				class, customer = document.ClassBatch, "large"
 				batches++
 			}
-			running = append(running, end(a.Upstream, class, now))
+			running = append(running, end(a.Upstream, customer, class, now))
 		}
 	}
 	for id := range uint64(10) {
@@ -198,7 +202,7 @@
 	q.Deadline = start.Add(time.Hour)
 	core.Arrive(start, 1, q)
 	now := start.Add(10 * time.Second)
-	require.Empty(t, core.Release(now, end(list[0], document.ClassInteractive, start)))
+	require.Empty(t, core.Release(now, end(list[0], "small", document.ClassInteractive, start)))
 	var out []Assignment
 	for id := range uint64(8) {
 		q.Deadline = now.Add(25 * time.Second)
@@ -233,7 +237,7 @@
 		q.Prefix = 1 + id%4
 		a := core.Arrive(start, id, q)[0]
 		used[fmt.Sprint(q.Prefix, a.Upstream.ID)]++
-		core.Release(start.Add(time.Second), end(a.Upstream, document.ClassInteractive, start))
+		core.Release(start.Add(time.Second), end(a.Upstream, "small", document.ClassInteractive, start))
 	}
 	require.Len(t, used, 4)
 }
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -38,6 +38,8 @@
 )
 
 const (
+	// measureInterval is the shortest time between two estimates of need.
+	measureInterval = 10 * time.Millisecond
 	// needRise and needFall are the times in which the estimate of the slots
 	// that a class needs follows a rise and a fall; recentTime is that of the
 	// estimate that goes to keepers.
@@ -70,6 +72,10 @@
 	waiting  map[uint64]*pending
 	inFlight [classes]int
 	served   [classes]float64
+	// customers holds the active customers; slots is the number of slots of
+	// this host when it was counted last.
+	customers *customers
+	slots     int
 	// need estimates the slots that each class needs, as of measured.
 	need     [classes]float64
 	recent   [classes]float64
@@ -79,7 +85,7 @@
 }
 
 func newService(name string) *service {
-	s := &service{name: name, waiting: map[uint64]*pending{}}
+	s := &service{name: name, waiting: map[uint64]*pending{}, customers: newCustomers()}
 	for class := range s.queues {
 		s.queues[class] = fairqueue.New()
 	}
@@ -89,23 +95,29 @@
 func (s *service) add(p *pending) {
 	s.waiting[p.item.ID] = p
 	s.queues[p.class].Push(p.item)
+	s.customers.get(p.item.Customer, p.item.Share).waiting[p.class]++
 }
 
 // measure brings the estimates of need up to a time.
 func (s *service) measure(now time.Time) {
 	elapsed := now.Sub(s.measured)
+	if elapsed < measureInterval {
+		return
+	}
 	if s.measured.IsZero() {
-		elapsed = 0
+		elapsed = measureInterval
 	}
 	s.measured = now
+	s.customers.prune(now)
 	for class := range s.need {
-		demand := float64(s.inFlight[class] + s.queues[class].Len())
+		demand := s.customers.demand(class, s.slots)
 		follow := needFall
 		if demand > s.need[class] {
 			follow = needRise
 		}
 		s.need[class] += (demand - s.need[class]) * gain(elapsed, follow)
-		s.recent[class] += (demand - s.recent[class]) * gain(elapsed, recentTime)
+		asked := float64(s.inFlight[class] + s.queues[class].Len())
+		s.recent[class] += (asked - s.recent[class]) * gain(elapsed, recentTime)
 	}
 }
 
@@ -117,13 +129,20 @@
 
 func (s *service) remove(p *pending) {
 	s.queues[p.class].Remove(p.item)
+	s.left(p)
+}
+
+// left records that a request is no longer in its queue.
+func (s *service) left(p *pending) {
 	delete(s.waiting, p.item.ID)
+	s.customers.get(p.item.Customer, 0).waiting[p.class]--
 }
 
 // started records that a request left its queue for an upstream.
 func (s *service) started(p *pending) {
-	delete(s.waiting, p.item.ID)
+	s.left(p)
 	s.inFlight[p.class]++
+	s.customers.get(p.item.Customer, 0).inFlight[p.class]++
 	s.served[p.class] += p.item.Cost
 	total := 0.0
 	for _, cost := range s.served {
@@ -138,7 +157,9 @@
 }
 
 func (s *service) ended(now time.Time, e Ended) {
-	s.inFlight[classIndex(e.Class)]--
+	class := classIndex(e.Class)
+	s.inFlight[class]--
+	s.customers.get(e.Customer, 0).inFlight[class]--
 	sample := float64(now.Sub(e.Started)) / float64(max(1, e.Cost))
 	if s.perToken == 0 {
 		s.perToken = time.Duration(sample)
@@ -218,7 +239,7 @@
 func (s *service) expire(now time.Time, out []Assignment) []Assignment {
 	for _, q := range s.queues {
 		for _, it := range q.Expired(now) {
-			delete(s.waiting, it.ID)
+			s.left(s.waiting[it.ID])
 			out = append(out, Assignment{ID: it.ID, Err: ErrDeadline})
 		}
 	}
