Keep credits within the budget of control at any size

Each pair of host and upstream asked every 0.4 s, windows grew with the number of services, and a host had 16 peers: 43.6 KB/s of control on the mean host of 60, 6 KB/s allowed. Hosts of a region now stand in cells of 9 to 17 that share the same upstreams; a host with more than 16 upstreams asks every 3.2 s under leases of 8 s, early at its limit or on bad answers; keepers are balanced and push smaller grants at once when an upstream bears less; hosts outside a cell ask as guests that own no share. Callers name the service when they ask for hosts.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -32,6 +32,9 @@
 	Reclaims map[string]time.Time
 	// Upstreams holds the listed upstreams of each service.
 	Upstreams map[string][]*Upstream
+	// ServiceHosts holds the IDs of the hosts that own shares of the limits of
+	// each service's upstreams, in regions where not all hosts do.
+	ServiceHosts map[string][]string
 	// Shares holds the share of new requests of each version, by service and route.
 	Shares map[RouteKey][]VersionShare
 	// Holds holds the fingerprints of requests that must not be dispatched,
--- a/internal/control/upstreams/credits.go
+++ b/internal/control/upstreams/credits.go
@@ -10,23 +10,76 @@
 	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
 )
 
-const (
-	// wantInterval is the time between two wants of one upstream.
-	wantInterval = 400 * time.Millisecond
-	// earlyWant is the shortest time between two wants, for hosts that have
-	// requests waiting. It leaves time for a Demand after a smaller grant, so
-	// that a want never counts too few requests in flight.
-	earlyWant = 150 * time.Millisecond
-	// pollInterval is the time between two load reports of one upstream, and
-	// cachePolls the number of them for each look at its cache events.
-	pollInterval = 800 * time.Millisecond
-	cachePolls   = 2
+// pace says how often a host asks and polls.
+type pace struct {
+	// lease is how long shares are lent and grants are used.
+	lease time.Duration
+	// want is the time between two wants of one upstream, early the shortest
+	// time between two, for hosts that have requests waiting. It leaves time
+	// for a Demand after a smaller grant, so that a want never counts too few
+	// requests in flight.
+	want, early time.Duration
+	// poll is the time between two load reports of one upstream.
+	poll time.Duration
+}
+
+// The paces of hosts that send to few upstreams and to many.
+var (
+	smallPace = pace{lease: 2 * time.Second, want: 400 * time.Millisecond, early: 150 * time.Millisecond, poll: 800 * time.Millisecond}
+	largePace = pace{lease: 8 * time.Second, want: 3200 * time.Millisecond, early: 800 * time.Millisecond, poll: 3200 * time.Millisecond}
 )
 
+// cachePolls is the number of load reports for each look at cache events.
+const cachePolls = 2
+
+// fewUpstreams is the number of upstreams up to which a host has the small pace.
+const fewUpstreams = 16
+
+func (m *Machine) pace() pace {
+	if m.owned > fewUpstreams {
+		return largePace
+	}
+	return smallPace
+}
+
+// longestLease returns the longest lease in use; hosts of one cell may differ
+// by a few upstreams in what they know.
+func (m *Machine) longestLease() time.Duration {
+	if m.owned+2 > fewUpstreams {
+		return largePace.lease
+	}
+	return smallPace.lease
+}
+
 // mayAskEarly reports whether all that may be sent to an upstream is in use.
-func (e *entry) mayAskEarly(now time.Time) bool {
-	limit, _ := e.holder.Limit(now, e.members, e.traits.Cold)
-	return e.zoneIn && e.inFlight >= limit && now.Sub(e.holder.LastSent()) >= earlyWant
+func (m *Machine) mayAskEarly(now time.Time, e *entry) bool {
+	limit, _ := e.limit(now)
+	return e.zoneIn && e.inFlight >= limit && now.Sub(e.holder.LastSent()) >= m.pace().early
+}
+
+// due reports whether it is time for a want: at the usual interval, and early
+// when attempts went badly.
+func (m *Machine) due(now time.Time, e *entry) bool {
+	since := now.Sub(e.holder.LastSent())
+	bad := e.evidence.Slow+e.evidence.Failed > 0
+	return m.needs(e) && (since >= m.pace().want || bad && since >= m.pace().early)
+}
+
+// needs reports whether a host asks for credits without a request at hand.
+func (m *Machine) needs(e *entry) bool {
+	return !e.guest || e.inFlight > 0 || m.waiting[e.host.Service][e.host.Version] > 0
+}
+
+// limit returns what this host may have in flight at an upstream, and until when.
+func (e *entry) limit(now time.Time) (int, time.Time) {
+	if e.guest {
+		return e.holder.Limit(now, 1, 0)
+	}
+	limit, until := e.holder.Limit(now, e.members, e.traits.Cold)
+	if e.suspect {
+		limit = min(limit, e.traits.Cold/max(1, e.members))
+	}
+	return limit, until
 }
 
 // ask sends a want to the keeper of an upstream.
@@ -37,24 +90,33 @@
 	m.changed = true
 	wanted, urgent := m.wish(e)
 	want := e.holder.Sent(now, credit.Want{
-		Host: m.self.ID, Members: e.members, Wanted: wanted, Urgent: urgent, InFlight: e.inFlight,
+		Host: m.self.ID, Members: e.owners(), Wanted: wanted, Urgent: urgent, InFlight: e.inFlight,
 	})
 	evidence := e.evidence
 	e.evidence = slowstart.Evidence{}
 	if e.keeper == m.self.ID {
-		m.granted(now, m.self.ID, m.answer(now, e, want, evidence))
-		return nil
+		e.pool.Take(now, want)
+		return m.watch(now, e, func() { e.ramp.Observe(now, evidence) }, m.self.ID)
 	}
 	message := &peerv1.CreditWant{
 		Upstream: e.host.ID, Wanted: int32(want.Wanted), Urgent: int32(want.Urgent), InFlight: int32(want.InFlight),
 		Members: int32(want.Members), Echo: want.Echo, Sent: want.Sent,
-		Good: int32(evidence.Good), Slow: int32(evidence.Slow), Failed: int32(evidence.Failed),
+		LeaseMs: int32(want.Lease.Milliseconds()),
+		Good:    int32(evidence.Good), Slow: int32(evidence.Slow), Failed: int32(evidence.Failed),
 	}
 	return []control.Output{control.Tell{
 		To: e.keeper, Message: &peerv1.Message{Body: &peerv1.Message_Want{Want: message}},
 	}}
 }
 
+// owners returns the number of hosts that own shares; 0 for a guest.
+func (e *entry) owners() int {
+	if e.guest {
+		return 0
+	}
+	return e.members
+}
+
 // wish returns the number of requests that this host would like to have at an
 // upstream: those in flight and an equal part of those that wait. Urgent is an
 // equal part of the slots that urgent classes need.
@@ -98,21 +160,47 @@
 		Host: from, Members: int(w.GetMembers()), InFlight: int(w.GetInFlight()),
 		Wanted: int(w.GetWanted()), Urgent: int(w.GetUrgent()),
 		Echo: w.GetEcho(), Sent: w.GetSent(),
+		Lease: min(time.Duration(w.GetLeaseMs())*time.Millisecond, largePace.lease),
 	}
 	evidence := slowstart.Evidence{Good: int(w.GetGood()), Slow: int(w.GetSlow()), Failed: int(w.GetFailed())}
-	grant := m.answer(now, e, want, evidence)
-	return []control.Output{control.Tell{
-		To: from, Message: &peerv1.Message{Body: &peerv1.Message_Grant{Grant: grant}},
-	}}
+	e.pool.Take(now, want)
+	return m.watch(now, e, func() {
+		if evidence != (slowstart.Evidence{}) {
+			e.ramp.Observe(now, evidence)
+		}
+	}, from)
 }
 
-func (m *Machine) answer(now time.Time, e *entry, want credit.Want, evidence slowstart.Evidence) *peerv1.CreditGrant {
-	if evidence != (slowstart.Evidence{}) {
-		e.ramp.Observe(now, evidence)
+// watch lets evidence change what is believed of an upstream and answers a
+// host, if one asked. When the upstream is believed to bear less than before,
+// all holders get a new grant at once.
+func (m *Machine) watch(now time.Time, e *entry, learn func(), asked string) []control.Output {
+	before := e.ramp.Level(now)
+	learn()
+	receivers := []string{asked}
+	if e.ramp.Level(now) < before {
+		receivers = e.pool.Members()
 	}
-	e.pool.Take(now, want)
+	var outs []control.Output
+	for _, to := range receivers {
+		if to == "" {
+			continue
+		}
+		grant := m.answer(now, e, to)
+		if to == m.self.ID {
+			m.granted(now, to, grant)
+			continue
+		}
+		outs = append(outs, control.Tell{
+			To: to, Message: &peerv1.Message{Body: &peerv1.Message_Grant{Grant: grant}},
+		})
+	}
+	return outs
+}
+
+func (m *Machine) answer(now time.Time, e *entry, host string) *peerv1.CreditGrant {
 	level := e.ramp.Level(now)
-	grant := e.pool.Answer(now, want.Host, level)
+	grant := e.pool.Answer(now, host, level)
 	return &peerv1.CreditGrant{
 		Upstream: e.host.ID, Amount: int32(grant.Amount), Epoch: grant.Epoch, Answers: grant.Answers,
 		Level: int32(level), Cold: e.ramp.Cold(now), Running: int32(e.running), Report: e.reports,
@@ -129,6 +217,7 @@
 	if !e.holder.Granted(now, from, grant, int(g.GetLevel())) {
 		return
 	}
+	e.suspect = false
 	m.changed = true
 	e.cold = g.GetCold()
 	if e.report != g.GetReport() {
@@ -148,19 +237,18 @@
 	return control.PollUpstream{Upstream: e.host.ID, Address: e.host.Address, CacheAfter: after}
 }
 
-func (m *Machine) loadReported(now time.Time, in control.LoadReported) {
+func (m *Machine) loadReported(now time.Time, in control.LoadReported) []control.Output {
 	e := m.entries[in.Upstream]
 	if e == nil || e.pool == nil {
-		return
+		return nil
 	}
 	if in.Err != nil {
-		e.ramp.Lost()
-		return
+		return m.watch(now, e, e.ramp.Lost, "")
 	}
 	e.running = in.Load.Running + in.Load.Queued
 	e.reports++
 	e.pool.Report(in.Load.AsOf, e.running)
-	e.ramp.Report(now, in.Load)
+	return m.watch(now, e, func() { e.ramp.Report(now, in.Load) }, "")
 }
 
 func (m *Machine) cacheChanged(in control.CacheChanged) {
--- a/internal/control/upstreams/health.go
+++ b/internal/control/upstreams/health.go
@@ -21,6 +21,8 @@
 	tripFailures = 3
 	tripTime     = time.Second
 	maxTrips     = 4
+	// suspectAttempts is the number of bad attempts that make a host doubt.
+	suspectAttempts = 2
 	// stallTime is the time without a token from which on an attempt that was
 	// given up counts as failed.
 	stallTime = 2 * time.Second
@@ -91,16 +93,28 @@
 	slowBetween := slow(&usual.between, in.Between)
 	if slowFirst || slowBetween {
 		e.evidence.Slow++
+		m.suspect(e)
 		return
 	}
 	e.evidence.Good++
 }
 
+// suspect cuts this host's use of an upstream to its part of the cold limit
+// once bad attempts outweigh good ones, until the keeper has heard of them.
+func (m *Machine) suspect(e *entry) {
+	bad := e.evidence.Slow + e.evidence.Failed
+	if bad >= suspectAttempts && bad > e.evidence.Good {
+		e.suspect = true
+		m.changed = true
+	}
+}
+
 func (m *Machine) attemptFailed(now time.Time, e *entry, in control.AttemptEnded) {
 	if !blamed(in) {
 		return
 	}
 	e.evidence.Failed++
+	m.suspect(e)
 	e.breaker.failed(now)
 	m.changed = true
 }
--- a/internal/control/upstreams/publish.go
+++ b/internal/control/upstreams/publish.go
@@ -31,6 +31,7 @@
 	if m.published != nil {
 		next.Upstreams = m.published
 	}
+	next.ServiceHosts = m.serviceHosts
 }
 
 func (m *Machine) publish(now time.Time) {
@@ -61,7 +62,7 @@
 }
 
 func (e *entry) publishKey(now time.Time) publishKey {
-	limit, until := e.holder.Limit(now, e.members, e.traits.Cold)
+	limit, until := e.limit(now)
 	capacity := e.holder.Level(now)
 	if capacity == 0 {
 		capacity = e.traits.Cold
--- a/internal/control/upstreams/topology.go
+++ b/internal/control/upstreams/topology.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/credit"
 	"github.com/marigoldmux/marigoldmux/internal/document"
@@ -27,11 +29,18 @@
 	// that this host takes for the upstream's keeper.
 	members int
 	keeper  string
+	// guest tells that this host owns no share and asks only while it has
+	// requests for the upstream; used is when it last had one.
+	guest bool
+	used  time.Time
 
 	holder   credit.Holder
 	inFlight int
 	evidence slowstart.Evidence
 	breaker  breaker
+	// suspect tells that this host's own attempts went badly and that the
+	// keeper has not answered since.
+	suspect bool
 	// cold, load and report come with grants.
 	cold   bool
 	load   float64
@@ -56,6 +65,12 @@
 	service, version string
 }
 
+// place is where an upstream stands among the cells.
+type place struct {
+	host hostlist.Host
+	cell int
+}
+
 // rebuild works out anew which upstreams this host may send to and which of
 // them it keeps.
 func (m *Machine) rebuild(now time.Time) {
@@ -64,14 +79,80 @@
 	}
 	m.changed = true
 	hosts, groups := m.region()
-	ring := subset.Ring(hosts)
+	m.cells = subset.Cells(subset.Ring(hosts))
+	own := m.ownCell()
+	m.places = map[string][]place{}
+	rank, total := 0, 0
+	for _, list := range groups {
+		total += len(list)
+	}
+	m.owned = total / len(m.cells)
+	inCell := make([][]string, len(m.cells))
+	var near []place
+	for _, g := range sortedGroups(groups) {
+		for _, host := range ringOf(groups[g]) {
+			p := place{host, subset.Cell(len(m.cells), rank, total)}
+			rank++
+			m.places[g.service] = append(m.places[g.service], p)
+			inCell[p.cell] = append(inCell[p.cell], host.ID)
+			if e := m.entries[host.ID]; p.cell == own || (e != nil && e.guest) {
+				near = append(near, p)
+			}
+		}
+	}
+	m.keepers = make([]map[string]string, len(m.cells))
+	m.inCell = inCell
 	kept := map[string]*entry{}
-	for g, list := range groups {
-		m.joinGroup(now, ring, g, list, kept)
+	for _, p := range near {
+		kept[p.host.ID] = m.join(now, p, p.cell != own)
 	}
 	m.entries = kept
+	m.order()
+	m.nameHosts()
+}
+
+func (m *Machine) ownCell() int {
+	for i, cell := range m.cells {
+		if contains(cell, m.self.ID) {
+			return i
+		}
+	}
+	return 0
+}
+
+func sortedGroups(groups map[group][]hostlist.Host) []group {
+	sorted := make([]group, 0, len(groups))
+	for g := range groups {
+		sorted = append(sorted, g)
+	}
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].service != sorted[j].service {
+			return sorted[i].service < sorted[j].service
+		}
+		return sorted[i].version < sorted[j].version
+	})
+	return sorted
+}
+
+// ringOf orders upstreams so that neighbours are in different zones.
+func ringOf(list []hostlist.Host) []hostlist.Host {
+	byID := make(map[string]hostlist.Host, len(list))
+	members := make([]subset.Member, 0, len(list))
+	for _, host := range list {
+		byID[host.ID] = host
+		members = append(members, subset.Member{ID: host.ID, Zone: host.Zone})
+	}
+	ordered := make([]hostlist.Host, 0, len(list))
+	for _, member := range subset.Ring(members) {
+		ordered = append(ordered, byID[member.ID])
+	}
+	return ordered
+}
+
+// order sorts the entries by service.
+func (m *Machine) order() {
 	m.ordered = m.ordered[:0]
-	for _, e := range kept {
+	for _, e := range m.entries {
 		m.ordered = append(m.ordered, e)
 	}
 	sort.Slice(m.ordered, func(i, j int) bool {
@@ -81,7 +162,26 @@
 		}
 		return a.ID < b.ID
 	})
-	m.markRetired()
+}
+
+// nameHosts lists the hosts that own shares of each service's upstreams.
+func (m *Machine) nameHosts() {
+	m.serviceHosts = map[string][]string{}
+	if len(m.cells) == 1 {
+		return
+	}
+	for service, places := range m.places {
+		seen := map[int]bool{}
+		for _, p := range places {
+			if seen[p.cell] {
+				continue
+			}
+			seen[p.cell] = true
+			for _, member := range m.cells[p.cell] {
+				m.serviceHosts[service] = append(m.serviceHosts[service], member.ID)
+			}
+		}
+	}
 }
 
 // region returns the entry hosts and the upstreams of this host's region.
@@ -104,28 +204,73 @@
 	return hosts, groups
 }
 
-// joinGroup adds the upstreams of one group to which this host may send.
-func (m *Machine) joinGroup(now time.Time, ring []subset.Member, g group, list []hostlist.Host, kept map[string]*entry) {
-	byID := make(map[string]hostlist.Host, len(list))
-	members := make([]subset.Member, 0, len(list))
-	for _, host := range list {
-		byID[host.ID] = host
-		members = append(members, subset.Member{ID: host.ID, Zone: host.Zone})
+// join returns the entry of an upstream to which this host may send.
+func (m *Machine) join(now time.Time, p place, guest bool) *entry {
+	cell := m.cells[p.cell]
+	e := m.entries[p.host.ID]
+	if e == nil {
+		e = &entry{zoneIn: true, cold: true, used: now, holder: credit.NewHolder(m.pace().lease)}
+	}
+	e.guest = guest
+	m.describe(now, e, p.host, m.document.Service(p.host.Service))
+	e.members = len(cell)
+	m.keep(now, e, m.keepersOf(p.cell)[p.host.ID])
+	return e
+}
+
+// keepersOf returns the keepers of a cell's upstreams.
+func (m *Machine) keepersOf(cell int) map[string]string {
+	if m.keepers[cell] == nil {
+		m.keepers[cell] = subset.Keepers(m.inCell[cell], m.cells[cell], func(id string) bool { return m.live[id] })
 	}
-	service := m.document.Service(g.service)
-	for rank, member := range subset.Ring(members) {
-		window := subset.Window(ring, rank, len(members))
-		if !contains(window, m.self.ID) {
+	return m.keepers[cell]
+}
+
+const (
+	// guestUpstreams is the number of upstreams of a service that a host asks
+	// for credits as a guest.
+	guestUpstreams = 2
+	// guestTime is how long a guest stays without requests.
+	guestTime = 30 * time.Second
+)
+
+// visit makes this host a guest at upstreams of a service that it has none of.
+func (m *Machine) visit(now time.Time, service string) {
+	places := append([]place(nil), m.places[service]...)
+	sort.Slice(places, func(i, j int) bool { return m.guestWeight(places[i]) > m.guestWeight(places[j]) })
+	joined := 0
+	for _, p := range places {
+		if joined == guestUpstreams {
+			break
+		}
+		if p.host.Leaving || !control.ServingZone(m.document, p.host.Zone) {
 			continue
 		}
-		e := m.entries[member.ID]
-		if e == nil {
-			e = &entry{zoneIn: true, cold: true}
+		m.entries[p.host.ID] = m.join(now, p, true)
+		joined++
+	}
+	m.order()
+	m.changed = true
+}
+
+func (m *Machine) guestWeight(p place) uint64 {
+	return xxhash.Sum64String(m.self.ID + "\x00" + p.host.ID)
+}
+
+// leave ends the stays of guests without requests.
+func (m *Machine) leave(now time.Time) {
+	left := false
+	for id, e := range m.entries {
+		if e.inFlight > 0 {
+			e.used = now
+		}
+		if e.guest && now.Sub(e.used) >= guestTime {
+			delete(m.entries, id)
+			left = true
 		}
-		kept[member.ID] = e
-		m.describe(now, e, byID[member.ID], service)
-		e.members = len(window)
-		m.keep(now, e, subset.Keeper(member.ID, window, func(id string) bool { return m.live[id] }))
+	}
+	if left {
+		m.order()
 	}
 }
 
@@ -160,13 +305,13 @@
 		keeper = m.self.ID
 	}
 	e.keeper = keeper
-	if keeper != m.self.ID {
+	if keeper != m.self.ID || e.guest {
 		e.pool, e.ramp, e.prefixes = nil, nil, nil
 		e.cache.Clear()
 		return
 	}
 	if e.pool == nil {
-		e.pool = credit.NewPool(e.host.ID, now, e.kind == document.KindEngine)
+		e.pool = credit.NewPool(e.host.ID, now, m.longestLease(), e.kind == document.KindEngine)
 		e.ramp = slowstart.New(now, e.traits, e.holder.Level(now))
 	}
 }
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -13,6 +13,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
+	"github.com/marigoldmux/marigoldmux/internal/subset"
 )
 
 // maxOffset bounds Machine.offset.
@@ -30,6 +31,17 @@
 	// entries holds the upstreams to which this host may send, ordered by service.
 	entries map[string]*entry
 	ordered []*entry
+	// cells parts the hosts of the region; places holds all upstreams of the
+	// region by service, and serviceHosts the hosts that own shares of them.
+	cells        [][]subset.Member
+	places       map[string][]place
+	serviceHosts map[string][]string
+	// inCell lists the upstreams of each cell; keepers holds those cells'
+	// keepers that were asked for.
+	inCell  [][]string
+	keepers []map[string]string
+	// owned is the number of upstreams of which this host owns shares.
+	owned int
 	// waiting counts the waiting requests at this host by service and version,
 	// and urgent the slots that its urgent classes need, by service.
 	waiting map[string]map[string]int
@@ -93,7 +105,7 @@
 	case control.AttemptEnded:
 		m.attemptEnded(now, in)
 	case control.LoadReported:
-		m.loadReported(now, in)
+		return m.loadReported(now, in)
 	case control.CacheChanged:
 		m.cacheChanged(in)
 	case control.Heard:
@@ -152,28 +164,41 @@
 	for _, n := range in.Waiting {
 		waits = waits || n > 0
 	}
+	if waits && !m.sendsTo(in.Service) {
+		m.visit(now, in.Service)
+	}
 	var outs []control.Output
 	for _, e := range m.ordered {
 		if e.host.Service != in.Service {
 			continue
 		}
 		e.inFlight = in.InFlight[e.host.ID]
-		if waits && e.mayAskEarly(now) {
+		if waits && m.mayAskEarly(now, e) {
 			outs = append(outs, m.ask(now, e)...)
 		}
 	}
 	return outs
 }
 
+func (m *Machine) sendsTo(service string) bool {
+	for _, e := range m.ordered {
+		if e.host.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // tick asks for the credits that are due and polls the kept upstreams.
 func (m *Machine) tick(now time.Time) []control.Output {
 	m.changed = true
+	m.leave(now)
 	var outs []control.Output
 	for _, e := range m.ordered {
-		if now.Sub(e.holder.LastSent()) >= wantInterval {
+		if m.due(now, e) {
 			outs = append(outs, m.ask(now, e)...)
 		}
-		if e.pool != nil && e.kind == document.KindEngine && now.Sub(e.polled) >= pollInterval {
+		if e.pool != nil && e.kind == document.KindEngine && now.Sub(e.polled) >= m.pace().poll {
 			outs = append(outs, e.poll(now))
 		}
 	}
--- a/internal/credit/holder.go
+++ b/internal/credit/holder.go
@@ -7,6 +7,7 @@
 
 // Holder is what one host may send to one upstream.
 type Holder struct {
+	lease  time.Duration
 	keeper string
 	// heard is when the newest grant of the keeper came; epoch is its Epoch.
 	heard time.Time
@@ -22,6 +23,10 @@
 	levelAt   time.Time
 }
 
+// NewHolder returns a holder without a grant, which lends its share and uses
+// grants for a lease.
+func NewHolder(lease time.Duration) Holder { return Holder{lease: lease} }
+
 // Ask reports whether the host may send a want to a keeper now; if so it turns
 // to that keeper. The host waits until its share is its own again before it
 // turns to another one.
@@ -42,10 +47,11 @@
 // will count it.
 func (h *Holder) Sent(now time.Time, w Want) Want {
 	w.Sent = now.UnixMilli()
+	w.Lease = h.lease
 	h.sent = now
-	if h.epoch != 0 && now.Sub(h.heard) < ShareLease {
+	if h.epoch != 0 && now.Sub(h.heard) < h.lease {
 		w.Echo = h.epoch
-		h.lentUntil = h.heard.Add(ShareLease + GrantLease)
+		h.lentUntil = h.heard.Add(2 * h.lease)
 	}
 	return w
 }
@@ -63,7 +69,7 @@
 	}
 	h.epoch, h.heard = g.Epoch, now
 	h.amount = g.Amount
-	h.until = time.UnixMilli(g.Answers).Add(GrantLease)
+	h.until = time.UnixMilli(g.Answers).Add(h.lease)
 	h.level, h.levelAt = level, now
 	return true
 }
--- a/internal/credit/pool.go
+++ b/internal/credit/pool.go
@@ -6,7 +6,7 @@
 // them. A host lends to one keeper at a time, so that the pools of all hosts
 // that take themselves for the keeper never exceed the limit together.
 //
-// Both leases are measured without common clocks: the keeper counts a share
+// Shares are lent, and grants used, for the lease that each want names. Both are measured without common clocks: the keeper counts a share
 // from the sending time of the grant that the lender echoes, and a holder
 // counts a grant from the sending time of the want that it answers.
 //
@@ -21,18 +21,17 @@
 )
 
 const (
-	// ShareLease is how long a keeper counts a share that was lent to it.
-	ShareLease = 2 * time.Second
-	// GrantLease is how long a holder uses a grant.
-	GrantLease = 2 * time.Second
-	// inFlightMemory is how long a keeper counts the requests of a host that it
-	// hears nothing of.
-	inFlightMemory = 5 * time.Second
-	// tellAge is the age up to which the word of a member on its requests in
-	// flight is set against a load report.
-	tellAge = 1200 * time.Millisecond
+	// memoryLeases is how long, in leases, a keeper counts the requests of a
+	// host that it hears nothing of.
+	memoryLeases = 2.5
+	// tellLeases is the age, in leases, up to which the word of a member on its
+	// requests in flight is set against a load report.
+	tellLeases = 0.6
 	// maxTold bounds the samples of what members told of.
 	maxTold = 64
+	// youngLeases is the age, in leases, up to which a pool counts requests of
+	// hosts that it does not know.
+	youngLeases = 6
 	// holdsBonus moves members that have a grant forward, so that odd requests
 	// don't change hands without need.
 	holdsBonus = 0.75
@@ -43,8 +42,11 @@
 // Want asks a keeper for a grant.
 type Want struct {
 	Host string
-	// Members is the number of hosts that own shares, as the sender knows it.
+	// Members is the number of hosts that own shares, as the sender knows it; 0
+	// when the sender owns none.
 	Members int
+	// Lease is how long the share is lent and grants are used.
+	Lease time.Duration
 	// Wanted counts requests in flight and waiting at the sender. Urgent is
 	// the part that is served before what other hosts want beyond theirs.
 	Wanted, Urgent, InFlight int
@@ -67,6 +69,8 @@
 type Pool struct {
 	upstream string
 	since    time.Time
+	// longest is the longest lease in use.
+	longest time.Duration
 	// reported tells that a load report of after since came, or that the
 	// upstream gives none.
 	reported bool
@@ -96,6 +100,7 @@
 	shareUntil time.Time
 	sent       int64
 	grants     []granted
+	lease      time.Duration
 	// part and holds are used by target only.
 	part  int
 	holds bool
@@ -108,9 +113,12 @@
 }
 
 // NewPool returns the pool of a host that took an upstream over at a time.
-// Reports tells whether the upstream reports its load.
-func NewPool(upstream string, now time.Time, reports bool) *Pool {
-	return &Pool{upstream: upstream, since: now, reported: !reports, members: map[string]*member{}}
+// Longest is the longest lease in use; reports tells whether the upstream
+// reports its load.
+func NewPool(upstream string, now time.Time, longest time.Duration, reports bool) *Pool {
+	return &Pool{
+		upstream: upstream, since: now, longest: longest, reported: !reports, members: map[string]*member{},
+	}
 }
 
 // Report takes the number of requests that ran and waited at the upstream at a time.
@@ -121,23 +129,27 @@
 	}
 }
 
+// leases returns the time of a number of leases.
+func (p *Pool) leases(n float64) time.Duration { return time.Duration(n * float64(p.longest)) }
+
 // ready reports whether all that may run at the upstream is known: the grants
 // of the last keeper have ended and a load report shows what they started.
 func (p *Pool) ready(now time.Time) bool {
-	return p.reported && now.Sub(p.since) >= GrantLease
+	return p.reported && now.Sub(p.since) >= p.longest
 }
 
 // leastTold returns the least sum that members told of around a time, and
 // drops older samples.
 func (p *Pool) leastTold(asOf time.Time) int {
+	age := p.leases(tellLeases)
 	least := 0
 	kept := p.told[:0]
 	for _, s := range p.told {
-		if asOf.Sub(s.at) > tellAge {
+		if asOf.Sub(s.at) > age {
 			continue
 		}
 		kept = append(kept, s)
-		if s.at.Sub(asOf) <= tellAge && (len(kept) == 1 || s.inFlight < least) {
+		if s.at.Sub(asOf) <= age && (len(kept) == 1 || s.inFlight < least) {
 			least = s.inFlight
 		}
 	}
@@ -149,7 +161,7 @@
 func (p *Pool) tell(now time.Time) {
 	sum := 0
 	for _, m := range p.order {
-		if now.Sub(m.heard) <= tellAge {
+		if now.Sub(m.heard) <= p.leases(tellLeases) {
 			sum += m.inFlight
 		}
 	}
@@ -172,12 +184,13 @@
 		return
 	}
 	m.sent, m.heard = w.Sent, now
+	m.lease = w.Lease
 	m.owners, m.wanted, m.urgent, m.inFlight = w.Members, w.Wanted, w.Urgent, w.InFlight
 	p.tell(now)
 	if w.Echo == 0 {
 		return
 	}
-	if until := time.UnixMilli(w.Echo).Add(ShareLease); until.After(m.shareUntil) {
+	if until := time.UnixMilli(w.Echo).Add(w.Lease); w.Members > 0 && until.After(m.shareUntil) {
 		m.shareUntil = until
 	}
 	m.superseded(w.Echo)
@@ -208,15 +221,24 @@
 		grant.Amount = max(0, min(p.target(now, m, level), p.free(now, m, level)))
 	}
 	// A holder counts the grant from its own want, which was sent before now.
-	m.grants = append(m.grants, granted{grant.Amount, grant.Epoch, now.Add(GrantLease)})
+	m.grants = append(m.grants, granted{grant.Amount, grant.Epoch, now.Add(m.lease)})
 	return grant
 }
 
+// Members returns the hosts that hold or ask for credits.
+func (p *Pool) Members() []string {
+	ids := make([]string, len(p.order))
+	for i, m := range p.order {
+		ids[i] = m.id
+	}
+	return ids
+}
+
 // forget drops members of which nothing counts any more.
 func (p *Pool) forget(now time.Time) {
 	kept := p.order[:0]
 	for _, m := range p.order {
-		if now.Sub(m.heard) < inFlightMemory {
+		if now.Sub(m.heard) < p.leases(memoryLeases) {
 			kept = append(kept, m)
 			continue
 		}
@@ -255,7 +277,7 @@
 }
 
 // free returns what the pool has left for a member beside all others. While
-// some shares are elsewhere, the requests that run at the upstream and that no
+// some shares are elsewhere or lately were, the requests that run at the upstream and that no
 // member told of count too.
 func (p *Pool) free(now time.Time, m *member, level int) int {
 	others := 0
@@ -265,7 +287,7 @@
 		}
 	}
 	unknown := 0
-	if lenders, owners := p.lenders(now); lenders < owners {
+	if lenders, owners := p.lenders(now); lenders < owners || now.Sub(p.since) < p.leases(youngLeases) {
 		unknown = p.unknown
 	}
 	return min(p.lent(now, level), level-unknown) - others
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -147,7 +147,7 @@
 	if !snapshot.Leaving {
 		answer.Ticket = m.claims.IssueTicket(time.Now())
 	}
-	for _, host := range chooseHosts(snapshot, c.QueryParam("prefix"), hostsNamed) {
+	for _, host := range chooseHosts(snapshot, c.QueryParam("service"), c.QueryParam("prefix"), hostsNamed) {
 		answer.Hosts = append(answer.Hosts, NamedHost{ID: host.ID, Address: host.Address, Zone: host.Zone})
 	}
 	return c.JSON(http.StatusOK, answer)
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -4,19 +4,17 @@
 package subset
 
 import (
+	"math"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// WindowHosts is the least number of hosts that may send to an upstream.
-	WindowHosts = 9
-	// allHosts is the number of hosts up to which each may send to each upstream.
+	// CellHosts is the least number of hosts in a cell.
+	CellHosts = 9
+	// allHosts is the number of hosts up to which there is one cell.
 	allHosts = 12
-	// leastUpstreams is the least number of upstreams of one group that a host
-	// may send to, if the group has as many.
-	leastUpstreams = 3
 )
 
 // Member is an entry host or an upstream.
@@ -58,42 +56,67 @@
 	return a < b
 }
 
-// Window returns the hosts of a ring that may send to the upstream of a rank
-// in a group of a size.
-func Window(hosts []Member, rank, groupSize int) []Member {
-	size := windowSize(len(hosts), groupSize)
-	if size == len(hosts) {
-		return hosts
+// Cells parts a ring of hosts into cells of neighbours. The hosts of a cell
+// send to the same upstreams, so that a host shares credits with few others.
+func Cells(ring []Member) [][]Member {
+	if len(ring) <= allHosts {
+		return [][]Member{ring}
 	}
-	window := make([]Member, 0, size)
-	first := rank * len(hosts) / groupSize
-	for i := range size {
-		window = append(window, hosts[(first+i)%len(hosts)])
+	count := len(ring) / CellHosts
+	cells := make([][]Member, count)
+	for i := range cells {
+		cells[i] = ring[i*len(ring)/count : (i+1)*len(ring)/count]
 	}
-	return window
+	return cells
 }
 
-func windowSize(hosts, groupSize int) int {
-	if hosts <= allHosts {
-		return hosts
+// Cell returns the index of the cell of the upstream of a rank among all
+// upstreams, which are ranked so that those of one group stand together.
+func Cell(cells, rank, upstreams int) int {
+	return rank * cells / upstreams
+}
+
+// keeperSlack is the factor by which a host may keep more upstreams than the mean.
+const keeperSlack = 1.1
+
+// Keepers returns which member of a cell keeps each of its upstreams, among
+// those members that a test accepts: the first by rendezvous hashing that does
+// not keep its part already. There is no entry where no member is accepted.
+func Keepers(upstreams []string, cell []Member, accept func(id string) bool) map[string]string {
+	var live []string
+	for _, m := range cell {
+		if accept(m.ID) {
+			live = append(live, m.ID)
+		}
+	}
+	keepers := make(map[string]string, len(upstreams))
+	if len(live) == 0 {
+		return keepers
+	}
+	most := int(math.Ceil(keeperSlack * float64(len(upstreams)) / float64(len(live))))
+	ordered := append([]string(nil), upstreams...)
+	sort.Slice(ordered, func(i, j int) bool { return before(ordered[i], ordered[j]) })
+	kept := map[string]int{}
+	for _, upstream := range ordered {
+		keeper := first(upstream, live, func(id string) bool { return kept[id] < most })
+		keepers[upstream] = keeper
+		kept[keeper]++
 	}
-	cover := (leastUpstreams*hosts + groupSize - 1) / groupSize
-	return min(hosts, max(WindowHosts, cover))
+	return keepers
 }
 
-// Keeper returns the member that keeps an upstream: the first by rendezvous
-// hashing among those that a test accepts; "" if there is none.
-func Keeper(upstream string, window []Member, accept func(id string) bool) string {
-	var keeper string
+// first returns the first host for an upstream by rendezvous hashing.
+func first(upstream string, hosts []string, accept func(id string) bool) string {
+	var best string
 	var highest uint64
-	for _, m := range window {
-		if !accept(m.ID) {
+	for _, id := range hosts {
+		if !accept(id) {
 			continue
 		}
-		weight := xxhash.Sum64String(upstream + "\x00" + m.ID)
-		if keeper == "" || weight > highest {
-			keeper, highest = m.ID, weight
+		weight := xxhash.Sum64String(upstream + "\x00" + id)
+		if best == "" || weight > highest {
+			best, highest = id, weight
 		}
 	}
-	return keeper
+	return best
 }
