Tell bad versions from bad upstreams, and send wants together

Faults and slow answers are now set against all upstreams of the version.

Wants to one keeper share a call.

--- a/internal/control/upstreams/credits.go
+++ b/internal/control/upstreams/credits.go
@@ -26,14 +26,14 @@
 // The paces of hosts that send to few upstreams and to many.
 var (
 	smallPace = pace{lease: 2 * time.Second, want: 400 * time.Millisecond, early: 150 * time.Millisecond, poll: 800 * time.Millisecond}
-	largePace = pace{lease: 8 * time.Second, want: 3200 * time.Millisecond, early: 800 * time.Millisecond, poll: 3200 * time.Millisecond}
+	largePace = pace{lease: 12 * time.Second, want: 5 * time.Second, early: time.Second, poll: 5 * time.Second}
 )
 
 // cachePolls is the number of load reports for each look at cache events.
 const cachePolls = 2
 
 // fewUpstreams is the number of upstreams up to which a host has the small pace.
-const fewUpstreams = 16
+const fewUpstreams = 22
 
 func (m *Machine) pace() pace {
 	if m.owned > fewUpstreams {
@@ -65,6 +65,12 @@
 	return m.needs(e) && (since >= m.pace().want || bad && since >= m.pace().early)
 }
 
+// nearlyDue reports whether a want may go along with another one to the same
+// keeper, so that they share a call now and later.
+func (m *Machine) nearlyDue(now time.Time, e *entry) bool {
+	return m.needs(e) && now.Sub(e.holder.LastSent()) >= m.pace().want/2
+}
+
 // needs reports whether a host asks for credits without a request at hand.
 func (m *Machine) needs(e *entry) bool {
 	return !e.guest || e.inFlight > 0 || m.waiting[e.host.Service][e.host.Version] > 0
@@ -77,7 +83,7 @@
 	}
 	limit, until := e.holder.Limit(now, e.members, e.traits.Cold)
 	if e.suspect {
-		limit = min(limit, e.traits.Cold/max(1, e.members))
+		limit = min(limit, max(1, e.traits.Cold/max(1, e.members)))
 	}
 	return limit, until
 }
--- a/internal/control/upstreams/health.go
+++ b/internal/control/upstreams/health.go
@@ -16,6 +16,10 @@
 	leastSlow  = 50 * time.Millisecond
 	// baselineGain is the weight of a new sample in a route's usual times.
 	baselineGain = 0.1
+	// badGain is the weight of a new sample in the share of bad attempts, and
+	// badVersion the share from which on a version counts as bad.
+	badGain    = 0.1
+	badVersion = 0.4
 	// tripFailures is the number of failures in a row after which this host
 	// sends nothing to an upstream for a while, from tripTime on.
 	tripFailures = 3
@@ -28,9 +32,27 @@
 	stallTime = 2 * time.Second
 )
 
-// baseline is the usual latency of a route over all upstreams.
+// baseline is what is usual on a route of a version over all its upstreams.
 type baseline struct {
 	first, between time.Duration
+	// bad is the recent share of slow and faulted attempts.
+	bad float64
+}
+
+// baselineKey names the attempts that are compared with each other.
+type baselineKey struct {
+	service, route, version string
+}
+
+// count records an attempt and reports whether it was out of the ordinary: a
+// version that is bad on all its upstreams is not the fault of each of them.
+func (b *baseline) count(bad bool) bool {
+	sample := 0.0
+	if bad {
+		sample = 1
+	}
+	b.bad += badGain * (sample - b.bad)
+	return bad && b.bad < badVersion
 }
 
 // slow reports whether a latency is far above a usual one, and moves that.
@@ -71,36 +93,43 @@
 	if e == nil {
 		return
 	}
+	usual := m.baseline(in)
 	if in.Failure != nil {
-		m.attemptFailed(now, e, in)
+		m.attemptFailed(now, e, usual, in)
 		return
 	}
 	if e.breaker.failures > 0 {
 		e.breaker.ok()
 		m.changed = true
 	}
-	key := control.RouteKey{Service: in.Service, Route: in.Route}
-	usual := m.baselines[key]
-	if usual == nil {
-		usual = &baseline{}
-		m.baselines[key] = usual
-	}
 	first := in.FirstToken
 	if first == 0 {
 		first = in.Took
 	}
 	slowFirst := slow(&usual.first, first)
 	slowBetween := slow(&usual.between, in.Between)
-	if slowFirst || slowBetween {
+	switch isSlow := slowFirst || slowBetween; {
+	case usual.count(isSlow):
 		e.evidence.Slow++
 		m.suspect(e)
-		return
+	case !isSlow:
+		e.evidence.Good++
+	}
+}
+
+func (m *Machine) baseline(in control.AttemptEnded) *baseline {
+	key := baselineKey{in.Service, in.Route, in.Version}
+	usual := m.baselines[key]
+	if usual == nil {
+		usual = &baseline{}
+		m.baselines[key] = usual
 	}
-	e.evidence.Good++
+	return usual
 }
 
-// suspect cuts this host's use of an upstream to its part of the cold limit
-// once bad attempts outweigh good ones, until the keeper has heard of them.
+// suspect cuts this host's use of an upstream to its part of the cold limit, or
+// one request, once bad attempts outweigh good ones, until the keeper has heard
+// of them.
 func (m *Machine) suspect(e *entry) {
 	bad := e.evidence.Slow + e.evidence.Failed
 	if bad >= suspectAttempts && bad > e.evidence.Good {
@@ -109,10 +138,13 @@
 	}
 }
 
-func (m *Machine) attemptFailed(now time.Time, e *entry, in control.AttemptEnded) {
+func (m *Machine) attemptFailed(now time.Time, e *entry, usual *baseline, in control.AttemptEnded) {
 	if !blamed(in) {
 		return
 	}
+	if in.Failure.Kind == upstream.Faulted && !usual.count(true) {
+		return
+	}
 	e.evidence.Failed++
 	m.suspect(e)
 	e.breaker.failed(now)
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -48,7 +48,7 @@
 	urgent  map[string]int
 	// offset spreads the odd requests of hosts over the upstreams.
 	offset    int
-	baselines map[control.RouteKey]*baseline
+	baselines map[baselineKey]*baseline
 	// retired holds the upstreams whose hosts are to be stopped.
 	retired   map[string]bool
 	changed   bool
@@ -79,7 +79,7 @@
 	m.waiting = map[string]map[string]int{}
 	m.urgent = map[string]int{}
 	m.offset = int(xxhash.Sum64String(self.ID) % maxOffset)
-	m.baselines = map[control.RouteKey]*baseline{}
+	m.baselines = map[baselineKey]*baseline{}
 }
 
 // Step implements control.Machine.
@@ -193,9 +193,15 @@
 func (m *Machine) tick(now time.Time) []control.Output {
 	m.changed = true
 	m.leave(now)
-	var outs []control.Output
+	due := map[string]bool{}
 	for _, e := range m.ordered {
 		if m.due(now, e) {
+			due[e.keeper] = true
+		}
+	}
+	var outs []control.Output
+	for _, e := range m.ordered {
+		if due[e.keeper] && (m.due(now, e) || m.nearlyDue(now, e)) {
 			outs = append(outs, m.ask(now, e)...)
 		}
 		if e.pool != nil && e.kind == document.KindEngine && now.Sub(e.polled) >= m.pace().poll {
--- a/internal/control/upstreams/upstreams_test.go
+++ b/internal/control/upstreams/upstreams_test.go
@@ -115,6 +115,23 @@
 	require.True(t, published(m, now)["assistant-3"].Open)
 }
 
+func TestBadVersionIsNotTheFaultOfItsUpstreams(t *testing.T) {
+	m, _ := lone(t)
+	now := run(m, start, 4*time.Second)
+	fault := &upstream.Failure{Kind: upstream.Faulted, Err: errors.New("status 500")}
+	for i := range 120 {
+		m.Step(now, control.AttemptEnded{Upstream: fmt.Sprint("assistant-", i%12), Service: "assistant", Failure: fault})
+	}
+	now = run(m, now, 20*time.Second)
+	closed := 0
+	for _, u := range published(m, now) {
+		if !u.Open || u.LimitAt(now) == 0 {
+			closed++
+		}
+	}
+	require.Zero(t, closed)
+}
+
 func TestSilentUpstreamGetsNothing(t *testing.T) {
 	m, _ := lone(t)
 	now := run(m, start, 4*time.Second)
