Let results of tickets share appends, and calls come during a planned stop

A longer run of the histories (ONCE_SCHEDULES=30) ended a process: calls that came while a host stopped took the count of running calls from 0 up again, and sync.WaitGroup panics then.

--- a/internal/claim/fold.go
+++ b/internal/claim/fold.go
@@ -45,6 +45,9 @@
 	Retire  *RetireOp  `json:"retire,omitempty"`
 }
 
+// mayLinger reports whether the append of a change is not urgent.
+func (o Op) mayLinger() bool { return o.Result != nil && o.Result.Ticket }
+
 // AcquireOp asks for the right to dispatch a key.
 type AcquireOp struct {
 	Key         string `json:"key"`
--- a/internal/claim/outage_test.go
+++ b/internal/claim/outage_test.go
@@ -250,6 +250,8 @@
 				before := h.bed.Log.Appends()
 				const length = 10 * time.Second
 				keys := h.bookEvery(random, time.Second/time.Duration(rate), length, newKey(h, random))
+				// The results of tickets take a while to be appended.
+				time.Sleep(5 * time.Second)
 				appends := float64(h.bed.Log.Appends() - before)
 				count := float64(len(keys))
 				t.Logf("%-12s %12d %12.1f %18.2f %18.0f",
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -14,6 +14,9 @@
 const (
 	// flushInterval is the least time between two appends to one shard.
 	flushInterval = 200 * time.Millisecond
+	// ticketLinger is how long results of tickets, of which peers have copies,
+	// wait for others to share their append.
+	ticketLinger  = 4 * time.Second
 	appendTimeout = 2 * time.Second
 	retryInterval = 200 * time.Millisecond
 	readWait      = 2 * time.Second
@@ -45,6 +48,8 @@
 	// changed is closed and replaced at each progress of the fold.
 	changed chan struct{}
 	queue   []*queued
+	// hurry ends the wait of a queue of results of tickets.
+	hurry chan struct{}
 	// sending is the batch whose append is under way or is tried again.
 	sending  []*queued
 	tailing  bool
@@ -63,7 +68,7 @@
 func newShard(stream string, log logsvc.Log, nextID func() string) *shard {
 	return &shard{
 		stream: stream, log: log, nextID: nextID,
-		fold: logfold.New(Apply), changed: make(chan struct{}),
+		fold: logfold.New(Apply), changed: make(chan struct{}), hurry: make(chan struct{}, 1),
 	}
 }
 
@@ -103,6 +108,12 @@
 // enqueue adds a change to the next batch.
 func (s *shard) enqueue(op Op) *queued {
 	q := &queued{op: op, appended: make(chan int64, 1)}
+	if !op.mayLinger() {
+		select {
+		case s.hurry <- struct{}{}:
+		default:
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue = append(s.queue, q)
@@ -175,6 +186,7 @@
 // flush appends the queued changes in batches until there are none.
 func (s *shard) flush(ctx context.Context) {
 	for {
+		s.linger(ctx)
 		s.mu.Lock()
 		s.sending, s.queue = s.queue, nil
 		batch := s.sending
@@ -189,6 +201,26 @@
 	}
 }
 
+// linger waits while the queue holds nothing but results of tickets.
+func (s *shard) linger(ctx context.Context) {
+	s.mu.Lock()
+	short := len(s.queue) == 0
+	for _, q := range s.queue {
+		short = short || !q.op.mayLinger()
+	}
+	s.mu.Unlock()
+	if short {
+		return
+	}
+	timer := time.NewTimer(ticketLinger)
+	defer timer.Stop()
+	select {
+	case <-s.hurry:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // appendBatch appends a batch until the log service confirms it. Copies of a
 // batch do no harm.
 func (s *shard) appendBatch(ctx context.Context, batch []*queued) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,7 +79,7 @@
 	calls map[string]*Call
 	// perCustomer counts the calls that have not ended.
 	perCustomer map[string]int
-	running     sync.WaitGroup
+	running     callCount
 	counters    Counters
 }
 
