--- /dev/null
+++ b/internal/control/checkpoint/checkpoint.go
@@ -0,0 +1,57 @@
+// Package checkpoint decides when a host appends a checkpoint of a stream that
+// all hosts fold, so that the state outlives the retention of its records and
+// usually one host appends.
+package checkpoint
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+)
+
+const (
+	// age is the age of the newest checkpoint at which the first host appends
+	// another; stagger is added for each live host of a lower ID.
+	age     = 10 * time.Minute
+	stagger = 20 * time.Second
+	// retry is the least time between two tries of one host.
+	retry = time.Minute
+)
+
+// Fold is the state of a stream; logfold.Fold implements it.
+type Fold interface {
+	Due(now time.Time, age time.Duration) bool
+	Checkpoint() ([]byte, error)
+	Next() int64
+}
+
+// Writer appends the checkpoints of one stream for one host.
+type Writer struct {
+	self    control.Self
+	stream  string
+	rank    int
+	written time.Time
+}
+
+// NewWriter returns a writer for a stream.
+func NewWriter(self control.Self, stream string) Writer {
+	return Writer{self: self, stream: stream}
+}
+
+// Members tells the writer which hosts are live.
+func (w *Writer) Members(hosts []control.EntryHost) { w.rank = control.Rank(w.self.ID, hosts) }
+
+// Tick returns the append of a checkpoint if one is due.
+func (w *Writer) Tick(now time.Time, fold Fold) []control.Output {
+	if now.Sub(w.written) < retry || !fold.Due(now, age+time.Duration(w.rank)*stagger) {
+		return nil
+	}
+	data, err := fold.Checkpoint()
+	if err != nil {
+		return nil
+	}
+	w.written = now
+	id := fmt.Sprintf("checkpoint/%s/%d", w.self.Incarnation, fold.Next())
+	return []control.Output{control.Append{Stream: w.stream, ID: id, Data: data}}
+}
--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -5,11 +5,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/control/checkpoint"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/jsonc"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
@@ -22,15 +22,6 @@
 // NoBase is the base of the first document of a deployment.
 const NoBase = -1
 
-// checkpointAge is the age of the newest checkpoint at which a host appends
-// another; checkpointStagger is added for each host of lower rank, so that
-// usually one host appends.
-const (
-	checkpointAge     = 10 * time.Minute
-	checkpointStagger = 20 * time.Second
-	checkpointRetry   = time.Minute
-)
-
 // peerAskInterval is the time between two questions to peers for a newer
 // configuration while the log is out.
 const peerAskInterval = time.Second
@@ -143,16 +134,16 @@
 
 // Machine is the control state of the configuration.
 type Machine struct {
-	self     control.Self
-	fold     *logfold.Fold[State]
-	document *document.Document
-	offset   int64
-	text     string
-	logUp    bool
-	members  []control.EntryHost
-	asked    time.Time
-	askNext  int
-	written  time.Time
+	self        control.Self
+	fold        *logfold.Fold[State]
+	document    *document.Document
+	offset      int64
+	text        string
+	logUp       bool
+	members     []control.EntryHost
+	asked       time.Time
+	askNext     int
+	checkpoints checkpoint.Writer
 }
 
 var (
@@ -175,6 +166,7 @@
 // Init prepares a machine for a host.
 func (m *Machine) Init(self control.Self) {
 	m.self = self
+	m.checkpoints = checkpoint.NewWriter(self, logsvc.StreamConfig)
 	m.fold = logfold.New(Apply)
 	m.offset = NoBase
 }
@@ -198,6 +190,7 @@
 		m.logUp = in.Up
 	case control.MembersChanged:
 		m.members = in.Hosts
+		m.checkpoints.Members(in.Hosts)
 	case control.Heard:
 		return m.heard(in)
 	case control.Tick:
@@ -276,17 +269,10 @@
 	if !m.logUp || !m.fold.Known() {
 		return m.askPeer(now)
 	}
-	age := checkpointAge + time.Duration(m.rank())*checkpointStagger
-	if m.document == nil || !m.fold.Due(now, age) || now.Sub(m.written) < checkpointRetry {
-		return nil
-	}
-	data, err := m.fold.Checkpoint()
-	if err != nil {
+	if m.document == nil {
 		return nil
 	}
-	m.written = now
-	id := fmt.Sprintf("checkpoint/%s/%d", m.self.Incarnation, m.fold.Next())
-	return []control.Output{control.Append{Stream: logsvc.StreamConfig, ID: id, Data: data}}
+	return m.checkpoints.Tick(now, m.fold)
 }
 
 // askPeer asks one peer after another for a newer configuration.
@@ -304,17 +290,6 @@
 	return nil
 }
 
-// rank is the number of live hosts with a lower ID.
-func (m *Machine) rank() int {
-	rank := 0
-	for _, host := range m.members {
-		if host.ID < m.self.ID {
-			rank++
-		}
-	}
-	return rank
-}
-
 // Publish implements control.Machine.
 func (m *Machine) Publish(_ time.Time, next *control.Snapshot) {
 	next.Document = m.document
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -11,13 +11,13 @@
 package fleet
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/control/checkpoint"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
@@ -36,10 +36,6 @@
 	// gets: hosts tell their demand less often where there are more of them.
 	demandInterval = 2 * time.Second
 	hostsPerSecond = 30
-
-	checkpointAge     = 10 * time.Minute
-	checkpointStagger = 20 * time.Second
-	checkpointRetry   = time.Minute
 )
 
 func init() { kernel.Register(&Machine{}) }
@@ -65,13 +61,13 @@
 	members  []control.EntryHost
 	listed   map[string]hostlist.Host
 	// seen tells that the host list was read.
-	seen     bool
-	noticed  map[string]time.Time
-	rollouts []control.Rollout
-	services map[string]*controller
-	reclaims map[string]*reclaimRate
-	written  time.Time
-	retired  int
+	seen        bool
+	noticed     map[string]time.Time
+	rollouts    []control.Rollout
+	services    map[string]*controller
+	reclaims    map[string]*reclaimRate
+	checkpoints checkpoint.Writer
+	retired     int
 }
 
 var (
@@ -95,6 +91,7 @@
 // Init prepares a machine for a host.
 func (m *Machine) Init(self control.Self) {
 	m.self = self
+	m.checkpoints = checkpoint.NewWriter(self, logsvc.StreamFleet)
 	m.fold = logfold.New(Apply)
 	m.listed = map[string]hostlist.Host{}
 	m.noticed = map[string]time.Time{}
@@ -126,6 +123,7 @@
 		m.configured(in.Document)
 	case control.MembersChanged:
 		m.members = in.Hosts
+		m.checkpoints.Members(in.Hosts)
 	case control.HostsListed:
 		m.hostsListed(now, in.List)
 	case control.NoticesListed:
@@ -263,7 +261,10 @@
 			outs = append(outs, m.tickService(now, c)...)
 		}
 	}
-	return append(outs, m.checkpoint(now)...)
+	if !m.logUp {
+		return outs
+	}
+	return append(outs, m.checkpoints.Tick(now, m.fold)...)
 }
 
 // tellDemand sends this host's demand to the service's controller.
@@ -307,27 +308,6 @@
 	return rendezvous.First("fleet/"+service, candidates)
 }
 
-// checkpoint appends the state before retention takes the records it is from.
-func (m *Machine) checkpoint(now time.Time) []control.Output {
-	rank := 0
-	for _, host := range m.members {
-		if host.ID < m.self.ID {
-			rank++
-		}
-	}
-	age := checkpointAge + time.Duration(rank)*checkpointStagger
-	if !m.logUp || !m.fold.Due(now, age) || now.Sub(m.written) < checkpointRetry {
-		return nil
-	}
-	data, err := m.fold.Checkpoint()
-	if err != nil {
-		return nil
-	}
-	m.written = now
-	id := fmt.Sprintf("checkpoint/%s/%d", m.self.Incarnation, m.fold.Next())
-	return []control.Output{control.Append{Stream: logsvc.StreamFleet, ID: id, Data: data}}
-}
-
 // Publish implements control.Machine.
 func (*Machine) Publish(time.Time, *control.Snapshot) {}
 
--- a/internal/control/rollout/exchange.go
+++ b/internal/control/rollout/exchange.go
@@ -26,10 +26,6 @@
 	// askInterval is the time between two questions to peers for the state
 	// while the log is out.
 	askInterval = time.Second
-
-	checkpointAge     = 10 * time.Minute
-	checkpointStagger = 20 * time.Second
-	checkpointRetry   = time.Minute
 )
 
 // asking is the progress of the questions to peers.
@@ -47,7 +43,7 @@
 	if !m.logUp || !m.fold.Known() {
 		return append(outs, m.askPeer(now)...)
 	}
-	return append(outs, m.checkpoint(now)...)
+	return append(outs, m.checkpoints.Tick(now, m.fold)...)
 }
 
 func (m *Machine) tickMove(now time.Time, mv *move) []control.Output {
@@ -81,7 +77,7 @@
 // it found or heard: the aggregator had time to do so, and so had the live
 // hosts of lower rank.
 func (m *Machine) mayTakeBack(now time.Time, mv *move) bool {
-	wait := time.Duration(m.rank()+1) * proposeStagger
+	wait := time.Duration(control.Rank(m.self.ID, m.members)+1) * proposeStagger
 	return mv.back != "" && now.Sub(mv.backSince) >= wait
 }
 
@@ -260,32 +256,6 @@
 	return nil
 }
 
-// checkpoint appends the state before retention takes the records it is from.
-func (m *Machine) checkpoint(now time.Time) []control.Output {
-	age := checkpointAge + time.Duration(m.rank())*checkpointStagger
-	if !m.fold.Due(now, age) || now.Sub(m.written) < checkpointRetry {
-		return nil
-	}
-	data, err := m.fold.Checkpoint()
-	if err != nil {
-		return nil
-	}
-	m.written = now
-	id := fmt.Sprintf("checkpoint/%s/%d", m.self.Incarnation, m.fold.Next())
-	return []control.Output{control.Append{Stream: logsvc.StreamRollout, ID: id, Data: data}}
-}
-
-// rank is the number of live hosts with a lower ID.
-func (m *Machine) rank() int {
-	rank := 0
-	for _, host := range m.members {
-		if host.ID < m.self.ID {
-			rank++
-		}
-	}
-	return rank
-}
-
 func (m *Machine) refs() []Ref {
 	refs := make([]Ref, 0, len(m.moves))
 	for ref := range m.moves {
--- a/internal/control/rollout/rollout.go
+++ b/internal/control/rollout/rollout.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/control/checkpoint"
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/logfold"
@@ -40,8 +41,8 @@
 	loads   map[string]float64
 	moves   map[Ref]*move
 
-	ask     asking
-	written time.Time
+	ask         asking
+	checkpoints checkpoint.Writer
 	// published is nil when it has to be computed anew.
 	published *published
 }
@@ -89,6 +90,7 @@
 // Init prepares a machine for a host.
 func (m *Machine) Init(self control.Self) {
 	m.self = self
+	m.checkpoints = checkpoint.NewWriter(self, logsvc.StreamRollout)
 	m.fold = logfold.New(Apply)
 	m.open = map[Ref]int{}
 	m.moves = map[Ref]*move{}
@@ -109,6 +111,7 @@
 		return m.raise()
 	case control.MembersChanged:
 		m.members = in.Hosts
+		m.checkpoints.Members(in.Hosts)
 		for _, mv := range m.moves {
 			m.assign(mv)
 		}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -184,3 +184,15 @@
 	until, held := s.Holds[fingerprint]
 	return held && now.Before(until)
 }
+
+// Rank returns the number of hosts with a lower ID. Hosts that all may do a
+// thing wait by their rank, so that usually the first does it alone.
+func Rank(id string, hosts []EntryHost) int {
+	rank := 0
+	for _, host := range hosts {
+		if host.ID < id {
+			rank++
+		}
+	}
+	return rank
+}
