Let a new controller listen before it plans

The host list lags: a controller that got its lease in the first seconds saw an empty list and started hosts that were there already. A notice to a settled controller is answered as fast as before.

--- a/internal/control/fleet/controller.go
+++ b/internal/control/fleet/controller.go
@@ -20,7 +20,10 @@
 const (
 	// startRetry is the time between two tries of one start; startTimeout is
 	// how long a started host may take to be listed.
-	startRetry   = 10 * time.Second
+	startRetry = 10 * time.Second
+	// settleTime is how long a new holder listens to the host list and to the
+	// demand before it plans; a lagging list may still be empty.
+	settleTime   = 10 * time.Second
 	startTimeout = 3 * time.Minute
 	stopRetry    = 10 * time.Second
 	// maxDrain bounds the time between a host's retirement and its stop.
@@ -52,11 +55,13 @@
 	renewed  time.Time
 	fence    int64
 	sequence int
-	planned  time.Time
-	changed  time.Time
-	surplus  time.Time
-	hosts    map[string]*progress
-	closed   map[plan.Slot]*closing
+	// held is when this process got the lease.
+	held    time.Time
+	planned time.Time
+	changed time.Time
+	surplus time.Time
+	hosts   map[string]*progress
+	closed  map[plan.Slot]*closing
 	// replaced holds hosts started while the log was down, by ID.
 	replaced map[string]Host
 	limited  time.Time
@@ -130,7 +135,7 @@
 		c.fence = -1
 		return m.take(now, c, state)
 	}
-	c.hold(state.Lease)
+	c.hold(now, state.Lease)
 	if now.Sub(c.renewed) >= leaseTime-clockMargin {
 		return m.lapsed(now, c, state)
 	}
@@ -153,8 +158,9 @@
 // hold notes the newest record of this process that took effect. What the
 // process may do ends a margin before the lease does, counted from the moment
 // at which that record was sent.
-func (c *controller) hold(lease Lease) {
+func (c *controller) hold(now time.Time, lease Lease) {
 	if c.fence != lease.Fence {
+		c.held = now
 		c.fence = lease.Fence
 		c.sequence = 0
 		c.replaced = map[string]Host{}
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -48,6 +48,15 @@
 	require.Len(t, s.hosts, 4)
 }
 
+func TestListThatIsStillEmptyStartsNothing(t *testing.T) {
+	s := newSite(nil)
+	s.requests = 6
+	s.run(5 * time.Second)
+	withFixed(s, 4)
+	s.run(5 * time.Minute)
+	require.Zero(t, s.starts)
+}
+
 func TestHostsOfOthersAreNeverStopped(t *testing.T) {
 	s := newSite(nil)
 	withFixed(s, 9)
--- a/internal/control/fleet/planning.go
+++ b/internal/control/fleet/planning.go
@@ -102,7 +102,7 @@
 
 // plan compares what is wanted with what should be, and appends the change.
 func (m *Machine) plan(now time.Time, c *controller, state Service) []control.Output {
-	if !m.logUp || now.Sub(c.planned) < planInterval || now.Sub(c.changed) < changeRetry {
+	if !m.logUp || now.Sub(c.held) < settleTime || now.Sub(c.planned) < planInterval || now.Sub(c.changed) < changeRetry {
 		return nil
 	}
 	c.planned = now
@@ -441,7 +441,7 @@
 		}
 		state.Wanted = withHost(state.Wanted, host)
 	}
-	if now.Sub(c.planned) >= planInterval {
+	if now.Sub(c.planned) >= planInterval && now.Sub(c.held) >= settleTime {
 		c.planned = now
 		want, _ := m.difference(now, c, state, lost)
 		for _, host := range want {
