Make request IDs hard to guess

Whoever has a request's ID may follow its answer and cancel it, and IDs counted up: a caller could read the answers to others. The last part is now 64 random bits instead of a count; a check of the customer at each of these calls was ruled out, as customers without a token have nothing to show and the host that is asked does not know the request's customer before it asks its peers.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,8 +72,7 @@
 
 // Dispatcher runs the accepted requests of one host.
 type Dispatcher struct {
-	opts     Options
-	sequence atomic.Uint64
+	opts Options
 
 	mu    sync.Mutex
 	calls map[string]*Call
@@ -204,8 +203,7 @@
 }
 
 func (d *Dispatcher) nextID() string {
-	id := request.ID{Host: d.opts.Self.ID, Incarnation: d.opts.Self.Incarnation, Sequence: d.sequence.Add(1)}
-	return id.String()
+	return request.NewID(d.opts.Self.ID, d.opts.Self.Incarnation).String()
 }
 
 const retrySoon = time.Second
--- /dev/null
+++ b/internal/request/id_test.go
@@ -0,0 +1,24 @@
+package request_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/internal/request"
+)
+
+// TestIDsAreNotGuessable checks that the ID of one request tells nothing of
+// the next: they are unique and lie far apart.
+func TestIDsAreNotGuessable(t *testing.T) {
+	const near = 1 << 32
+	seen := map[string]bool{}
+	last := request.NewID("entry-0", "a")
+	for range 1000 {
+		id := request.NewID("entry-0", "a")
+		require.False(t, seen[id.String()])
+		seen[id.String()] = true
+		require.Greater(t, max(id.Nonce, last.Nonce)-min(id.Nonce, last.Nonce), uint64(near))
+		last = id
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -2,6 +2,8 @@
 package request
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"strconv"
 	"strings"
@@ -22,12 +24,21 @@
 type ID struct {
 	Host        string
 	Incarnation string
-	Sequence    uint64
+	// Nonce tells the requests of a process apart. It is random: whoever has
+	// an ID may read and cancel the request.
+	Nonce uint64
 }
 
-// String formats the ID as "host.incarnation.sequence".
+// NewID returns an ID that nobody can guess.
+func NewID(host, incarnation string) ID {
+	var buf [8]byte
+	_, _ = rand.Read(buf[:])
+	return ID{Host: host, Incarnation: incarnation, Nonce: binary.BigEndian.Uint64(buf[:])}
+}
+
+// String formats the ID as "host.incarnation.nonce".
 func (id ID) String() string {
-	return id.Host + idSeparator + id.Incarnation + idSeparator + strconv.FormatUint(id.Sequence, 36)
+	return id.Host + idSeparator + id.Incarnation + idSeparator + strconv.FormatUint(id.Nonce, 36)
 }
 
 // ParseID reads an ID. Its error is ErrID.
@@ -36,11 +47,11 @@
 	if len(parts) != 3 || parts[0] == "" || parts[1] == "" {
 		return ID{}, ErrID
 	}
-	sequence, err := strconv.ParseUint(parts[2], 36, 64)
+	nonce, err := strconv.ParseUint(parts[2], 36, 64)
 	if err != nil {
 		return ID{}, ErrID
 	}
-	return ID{Host: parts[0], Incarnation: parts[1], Sequence: sequence}, nil
+	return ID{Host: parts[0], Incarnation: parts[1], Nonce: nonce}, nil
 }
 
 // Request is a request that the system accepted.
