Give requests that only waited a reason of their own

A request that misses the target of its first token, though no attempt does, waited for an upstream; the report now tells it apart from one with a late attempt.

--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -32,6 +32,10 @@
 // ReasonLate is the reason of requests that were answered late.
 const ReasonLate = "late"
 
+// ReasonWaited is the reason of requests that were late although no attempt
+// was: they waited for an upstream.
+const ReasonWaited = "waited"
+
 // Recorder counts the ends of requests and of attempts on one host. It is not
 // part of the control state: the control loop may drop inputs when it is
 // behind, which is when the account matters most.
@@ -112,6 +116,8 @@
 	switch {
 	case end.Outcome != request.Answer:
 		return string(end.Reason), true
+	case end.Late && end.Blamed == nil:
+		return ReasonWaited, true
 	case end.Late:
 		return ReasonLate, true
 	default:
