--- a/internal/experiment/scale_test.go
+++ b/internal/experiment/scale_test.go
@@ -28,6 +28,9 @@
 	{"710-hosts-1900-upstreams", 710, 1900, 5, 12},
 }
 
+// settleTicks is the number of ticks in which credits settle at any size.
+const settleTicks = 200
+
 // deployment is one region's machines with what they were given.
 type deployment struct {
 	doc      *document.Document
@@ -115,12 +118,12 @@
 		b.Run(s.name, func(b *testing.B) {
 			before := heapSize()
 			d := newDeployment(s)
-			for range 50 {
+			for range settleTicks {
 				d.tick()
 			}
 			perNode := (heapSize() - before) / float64(len(d.ids))
 			d.messages, d.bytes, d.polls = 0, 0, 0
-			const ticks = 50
+			const ticks = 100
 			for range ticks {
 				d.tick()
 			}
@@ -156,6 +159,7 @@
 			d := newDeployment(s)
 			m := d.machines[d.ids[0]]
 			b.ReportAllocs()
+			b.ResetTimer()
 			for i := range b.N {
 				m.Step(d.now, control.HostsListed{List: hostlist.List{Hosts: d.listed[i%2:]}})
 			}
@@ -169,7 +173,7 @@
 		for _, policy := range []Policy{RoundRobin, LeastLoad, Core} {
 			b.Run(s.name+"/"+string(policy), func(b *testing.B) {
 				d := newDeployment(s)
-				for range 50 {
+				for range settleTicks {
 					d.tick()
 				}
 				next := &control.Snapshot{Document: d.doc, Shares: map[control.RouteKey][]control.VersionShare{
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -86,7 +86,7 @@
 // Arrive takes a request that needs an upstream. The ID must be new.
 func (c *Core) Arrive(now time.Time, id uint64, q Query) []Assignment {
 	s := c.service(q.Service)
-	p := &pending{query: q, class: classIndex(q.Class)}
+	p := &pending{query: q, class: classIndex(q.Class), explores: c.rand.IntN(exploreEvery) == 0}
 	p.version = q.Version
 	if p.version == "" {
 		p.version = c.drawVersion(q)
@@ -339,6 +339,8 @@
 	priceWeight  = 0.02
 	coldPenalty  = 0.5
 	coldForBatch = -0.25
+	// exploreEvery is the number of requests of which one prefers cold upstreams.
+	exploreEvery = 16
 )
 
 // choose returns an upstream for a request, or nil if none is free. A request
@@ -425,6 +427,8 @@
 	}
 	switch {
 	case !u.Cold:
+	case p.explores:
+		score -= coldPenalty
 	case p.class == batch:
 		score += coldForBatch
 	default:
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -63,6 +63,9 @@
 	query   Query
 	class   int
 	version string
+	// explores tells that the request prefers cold upstreams, which need good
+	// answers to become warm.
+	explores bool
 }
 
 // service is what waits and runs of one service at this host.
