Resume streams elsewhere and bound retries by a budget

Cause: a call whose every upstream had failed once waited to its deadline, because all were excluded; six attempts ended a call however long its deadline; a call that had run was cut when the queue was long; "not run" was denied to calls whose every attempt was certainly not run.

Upstreams that failed a call are tried again after a wait that doubles. A stream on an upstream that is to go is moved while it still generates: by its KV cache or by computing again, whichever a pure function estimates to be cheaper and certain to end in time. A stall and a deadline are a kind of failure of their own.

--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -52,6 +52,7 @@
 	// urgent is until when each tick brings a probe, to pass on a change of status.
 	urgent   time.Time
 	listed   []hostlist.Host
+	notices  []cloud.Notice
 	reclaims map[string]time.Time
 
 	// changed tells that MembersChanged is due and the shared maps are stale.
@@ -108,8 +109,9 @@
 	case control.HostsListed:
 		m.listed = in.List.Hosts
 		m.takeList(now)
+		m.rebuildReclaims()
 	case control.NoticesListed:
-		outs = m.notices(in.Notices)
+		outs = m.takeNotices(in.Notices)
 	case control.Configured:
 		m.document = in.Document
 		m.own.configOffset = in.Offset
@@ -172,17 +174,29 @@
 	m.changed = true
 }
 
-func (m *Machine) notices(notices []cloud.Notice) []control.Output {
-	reclaims := make(map[string]time.Time, len(notices))
-	var outs []control.Output
-	for _, notice := range notices {
-		reclaims[notice.HostID] = notice.Deadline
-		if notice.HostID == m.self.ID && !m.own.host.Leaving {
-			outs = append(outs, control.Raise{Input: control.Leaving{Deadline: notice.Deadline}})
+func (m *Machine) takeNotices(notices []cloud.Notice) []control.Output {
+	m.notices = notices
+	m.rebuildReclaims()
+	deadline, leaving := m.reclaims[m.self.ID]
+	if !leaving || m.own.host.Leaving {
+		return nil
+	}
+	return []control.Output{control.Raise{Input: control.Leaving{Deadline: deadline}}}
+}
+
+// rebuildReclaims collects the hosts that are to go: those under notice, and
+// those that are listed as leaving without a deadline.
+func (m *Machine) rebuildReclaims() {
+	reclaims := make(map[string]time.Time, len(m.notices))
+	for _, host := range m.listed {
+		if host.Leaving {
+			reclaims[host.ID] = time.Time{}
 		}
 	}
+	for _, notice := range m.notices {
+		reclaims[notice.HostID] = notice.Deadline
+	}
 	m.reclaims = reclaims
-	return outs
 }
 
 // takeList compares the peers with the newest list.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -27,8 +27,8 @@
 	// Hosts holds the live entry hosts, this one included, by ID. Hosts of
 	// other regions are taken from the host list.
 	Hosts map[string]EntryHost
-	// Reclaims holds the hosts under a reclaim notice, with the time until
-	// which each may be used.
+	// Reclaims holds the hosts that are to go, of any role, with the time until
+	// which each may be used; the zero time where that is not known.
 	Reclaims map[string]time.Time
 	// Upstreams holds the listed upstreams of each service.
 	Upstreams map[string][]*Upstream
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -10,47 +11,139 @@
 	"github.com/marigoldmux/marigoldmux/internal/request"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
 )
 
-// maxAttempts bounds the attempts at one request.
-const maxAttempts = 6
+const (
+	// maxFailures bounds the attempts in a row that ran and brought no token.
+	maxFailures = 12
+	// pinnedFailures is the number of failures after which a stream may go on
+	// at another version.
+	pinnedFailures = 3
+	// minBackoff and maxBackoff bound the wait before upstreams that failed a
+	// call are tried again.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
 
 func (d *Dispatcher) query(call *Call, exclude map[string]bool) route.Query {
 	q := route.Query{
 		Service: call.Request.Service, Route: call.Request.Route, Customer: call.Request.Customer,
 		Class: call.route.Class, Deadline: call.Request.Deadline,
-		Cost: call.Request.MaxTokens, Exclude: exclude,
+		Cost: call.Request.MaxTokens - call.Output.Len(), Exclude: exclude,
 	}
 	q.Prefix = prefix.Hash(call.Request.Prompt)
+	if call.Output.Len() > 0 && call.failures < pinnedFailures && d.versionOpen(q.Service, call.version) {
+		q.Version = call.version
+	}
 	return q
 }
 
-// acquire gets an upstream for a call, or the result that ends the call.
+// versionOpen reports whether a version has an upstream that takes new work.
+func (d *Dispatcher) versionOpen(service, version string) bool {
+	for _, u := range d.opts.Snapshot().Upstreams[service] {
+		if u.Open && u.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// place finds an upstream for the next attempt at an engine, with the KV cache
+// that came with the call if there is one.
+func (d *Dispatcher) place(ctx context.Context, call *Call, failed map[string]bool) (*placement, *request.Result) {
+	lease, end := d.acquire(ctx, call, failed)
+	if end != nil {
+		return nil, end
+	}
+	next := &placement{lease: lease}
+	if call.kv != nil && d.importKV(ctx, lease.Upstream, call.kv) {
+		next.kv = call.kv
+	}
+	call.kv = nil
+	return next, nil
+}
+
+// acquire gets an upstream for a call, or the result that ends the call. A
+// call that an upstream may have run is tried for until its deadline.
 func (d *Dispatcher) acquire(ctx context.Context, call *Call, failed map[string]bool) (*route.Lease, *request.Result) {
-	snapshot := d.opts.Snapshot()
-	if snapshot.Held(call.Request.Fingerprint, time.Now()) {
-		return nil, d.giveUp(call, request.ReasonHeldBack)
+	for {
+		snapshot := d.opts.Snapshot()
+		if snapshot.Held(call.Request.Fingerprint, time.Now()) {
+			return nil, d.giveUp(call, request.ReasonHeldBack)
+		}
+		d.readmit(ctx, call, snapshot, failed)
+		lease, err := d.opts.Router.Acquire(ctx, d.query(call, failed))
+		switch {
+		case err == nil:
+			return lease, nil
+		case ctx.Err() != nil:
+			return nil, d.giveUp(call, endReason(ctx))
+		case !call.mayHaveRun:
+			return nil, d.giveUp(call, refusalReason(err))
+		}
+		pause(ctx, maxBackoff/4)
 	}
-	lease, err := d.opts.Router.Acquire(ctx, d.query(call, failed))
+}
+
+func refusalReason(err error) request.Reason {
 	var overload *route.OverloadError
-	switch {
-	case err == nil:
-		return lease, nil
-	case errors.As(err, &overload):
-		return nil, d.giveUp(call, request.ReasonOverload)
-	case errors.Is(err, route.ErrDeadline), errors.Is(err, context.DeadlineExceeded):
-		return nil, d.giveUp(call, request.ReasonDeadline)
-	default:
-		return nil, d.giveUp(call, request.ReasonCancelled)
+	if errors.As(err, &overload) {
+		return request.ReasonOverload
+	}
+	return request.ReasonDeadline
+}
+
+func endReason(ctx context.Context) request.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return request.ReasonDeadline
 	}
+	return request.ReasonCancelled
 }
 
-// giveUp returns the result of a call that gets no further attempt. Only a
-// call that was never attempted is certain not to have run.
+// readmit lets a call try upstreams again that failed it, after a wait that
+// doubles each time, once it has failed at all that are open of a version.
+func (d *Dispatcher) readmit(ctx context.Context, call *Call, snapshot *control.Snapshot, failed map[string]bool) {
+	if !exhausted(snapshot.Upstreams[call.Request.Service], failed) {
+		return
+	}
+	pause(ctx, min(maxBackoff, minBackoff<<min(call.rounds, 10)))
+	call.rounds++
+	clear(failed)
+}
+
+// exhausted reports whether there is a version all of whose open upstreams failed.
+func exhausted(upstreams []*control.Upstream, failed map[string]bool) bool {
+	open, left := map[string]bool{}, map[string]bool{}
+	for _, u := range upstreams {
+		if u.Open {
+			open[u.Version] = true
+			left[u.Version] = left[u.Version] || !failed[u.ID]
+		}
+	}
+	for version := range open {
+		if !left[version] {
+			return true
+		}
+	}
+	return false
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// giveUp returns the result of a call that gets no further attempt. It is "not
+// run" only where no upstream can have run the call.
 func (d *Dispatcher) giveUp(call *Call, reason request.Reason) *request.Result {
-	outcome := request.Unknown
-	if call.Request.Attempts == 0 {
-		outcome = request.NotRun
+	outcome := request.NotRun
+	if call.mayHaveRun {
+		outcome = request.Unknown
 	}
 	return &request.Result{Outcome: outcome, Reason: reason, Tokens: call.Output.Len()}
 }
@@ -60,29 +153,58 @@
 func (d *Dispatcher) afterFailure(ctx context.Context, call *Call, lease *route.Lease, err error, failed map[string]bool) *request.Result {
 	failed[lease.Upstream.ID] = true
 	kind := upstream.KindOf(err)
+	progressed := call.Output.Len() > call.progress
+	call.progress = call.Output.Len()
+	ran := !upstream.CertainlyNotRun(kind)
+	call.mayHaveRun = call.mayHaveRun || ran
+	switch {
+	case progressed:
+		call.failures = 1
+	case ran:
+		call.failures++
+	}
 	switch {
-	case ctx.Err() != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return d.giveUp(call, request.ReasonDeadline)
 	case ctx.Err() != nil:
-		return d.giveUp(call, request.ReasonCancelled)
+		return d.giveUp(call, endReason(ctx))
 	case kind == upstream.Invalid:
-		return &request.Result{Outcome: request.NotRun, Reason: request.ReasonInvalid}
-	case call.Request.Attempts >= maxAttempts:
+		return d.giveUp(call, request.ReasonInvalid)
+	case call.failures >= maxFailures:
 		return d.giveUp(call, request.ReasonUpstreamFailed)
 	}
+	if ran && !progressed {
+		d.awaitBudget(ctx, call)
+	}
 	d.counters.Retried.Add(1)
 	return nil
 }
 
+// awaitBudget waits until the service's budget pays for another attempt. One
+// that brought tokens or did not run costs nothing: no work is repeated.
+func (d *Dispatcher) awaitBudget(ctx context.Context, call *Call) {
+	for ctx.Err() == nil {
+		wait := d.budgets.take(call.Request.Service, time.Now())
+		if wait == 0 {
+			return
+		}
+		pause(ctx, wait)
+	}
+}
+
 // attempt measures one attempt at an upstream.
 type attempt struct {
 	call       *Call
+	lease      *route.Lease
 	upstream   *control.Upstream
+	kv         *engine.KV
 	started    time.Time
 	first      time.Time
 	last       time.Time
 	tokens     int
 	recomputed int
+	// progress is the time of the last sign of life, in Unix nanoseconds.
+	progress atomic.Int64
+	// next is where the stream goes on, if it was moved.
+	next *placement
 }
 
 func (a *attempt) token(now time.Time) {
@@ -92,15 +214,11 @@
 	if a.call.firstToken == 0 {
 		a.call.firstToken = now.Sub(a.call.Request.Accepted)
 	}
+	a.call.version = a.upstream.Version
 	a.last = now
 	a.tokens++
 }
 
-func (a *attempt) stallTime() time.Duration {
-	target := max(a.call.route.FirstToken.D(), a.call.route.BetweenTokens.D())
-	return max(minStall, stallFactor*target)
-}
-
 func (d *Dispatcher) reportAttempt(a *attempt, err error) {
 	now := time.Now()
 	ended := control.AttemptEnded{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,8 +18,10 @@
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/resume"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/stream"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
 )
 
 // endedRetention is how long the output of an ended request is kept.
@@ -80,6 +82,8 @@
 	perCustomer map[string]int
 	running     callCount
 	counters    Counters
+	budgets     *budgets
+	estimates   *resume.Estimator
 }
 
 // Counters count what became of requests.
@@ -88,6 +92,8 @@
 	// Retried counts attempts after the first; Recomputed counts tokens that
 	// upstreams computed again because of them.
 	Retried, Recomputed, Tokens, Crossed atomic.Int64
+	// Moved counts streams that went to another upstream before theirs left.
+	Moved atomic.Int64
 }
 
 // Call is an accepted request on this host.
@@ -96,9 +102,24 @@
 	Output  *stream.Buffer
 	service *document.Service
 	route   *document.Route
-	cancel  context.CancelFunc
 	// relayed tells that another host passed the request on to this one.
 	relayed bool
+	cancel  context.CancelCauseFunc
+	// current is the attempt that runs at an engine; nil between attempts.
+	current atomic.Pointer[attempt]
+
+	// The fields below belong to the goroutine that runs the call.
+
+	// kv is a KV cache that came with the call; nil if there is none.
+	kv *engine.KV
+	// version generated the tokens so far.
+	version string
+	// mayHaveRun tells that an upstream may have run the call.
+	mayHaveRun bool
+	// failures counts the attempts in a row that brought no token, progress is
+	// the number of tokens after the last attempt, and rounds counts how often
+	// all upstreams were tried.
+	failures, progress, rounds int
 	// firstToken is the time from acceptance to the first token; 0 before it.
 	firstToken time.Duration
 	// blamed is the first attempt that failed or was late, last is the newest.
@@ -107,7 +128,10 @@
 
 // New returns a dispatcher without requests.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts, calls: map[string]*Call{}, perCustomer: map[string]int{}}
+	return &Dispatcher{
+		opts: opts, calls: map[string]*Call{}, perCustomer: map[string]int{},
+		budgets: newBudgets(), estimates: resume.NewEstimator(),
+	}
 }
 
 // Counters returns the dispatcher's counters.
@@ -137,7 +161,7 @@
 	if call == nil {
 		return false
 	}
-	call.cancel()
+	call.cancel(errCancelled)
 	return true
 }
 
@@ -154,6 +178,7 @@
 		return nil, err
 	}
 	d.counters.Accepted.Add(1)
+	d.budgets.accepted(call.Request.Service, time.Now())
 	d.start(call)
 	return call, nil
 }
@@ -248,12 +273,13 @@
 }
 
 func (d *Dispatcher) start(call *Call) {
-	ctx, cancel := context.WithDeadline(context.Background(), call.Request.Deadline)
+	ctx, stop := context.WithDeadline(context.Background(), call.Request.Deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
 	call.cancel = cancel
 	d.running.Add(1)
 	go func() {
 		defer d.running.Done()
-		defer cancel()
+		defer stop()
 		d.end(call, d.run(ctx, call))
 	}()
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -7,19 +7,10 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/request"
-	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
 )
 
-const (
-	// minStall and stallFactor give the time without a token after which an
-	// attempt is given up: the factor times the route's target, and at least
-	// the minimum.
-	minStall    = 2 * time.Second
-	stallFactor = 20
-)
-
 // priorities orders classes at the engines; larger is more urgent.
 var priorities = map[document.Class]int{
 	document.ClassInteractive: 2,
@@ -27,66 +18,119 @@
 	document.ClassBatch:       0,
 }
 
-var errStalled = errors.New("no token for too long")
-
 func (d *Dispatcher) runEngine(ctx context.Context, call *Call) request.Result {
 	failed := map[string]bool{}
+	var next *placement
 	for {
-		lease, end := d.acquire(ctx, call, failed)
-		if end != nil {
-			return *end
+		if next == nil {
+			var end *request.Result
+			if next, end = d.place(ctx, call, failed); end != nil {
+				return *end
+			}
 		}
-		err := d.generate(ctx, call, lease)
-		lease.Release()
+		a := &attempt{call: call, lease: next.lease, upstream: next.lease.Upstream, kv: next.kv, started: time.Now()}
+		err := d.generate(ctx, a)
+		a.lease.Release()
 		if err == nil {
 			return request.Result{Outcome: request.Answer, Tokens: call.Output.Len()}
 		}
-		if end := d.afterFailure(ctx, call, lease, err, failed); end != nil {
+		if next = a.next; next != nil {
+			continue
+		}
+		if end := d.afterFailure(ctx, call, a.lease, err, failed); end != nil {
 			return *end
 		}
 	}
 }
 
 // generate makes one attempt at an engine and resumes after the tokens so far.
-func (d *Dispatcher) generate(ctx context.Context, call *Call, lease *route.Lease) error {
+// Where it moved the stream, the attempt names the next placement.
+func (d *Dispatcher) generate(ctx context.Context, a *attempt) error {
+	call := a.call
 	call.Request.Attempts++
-	attempt := attempt{call: call, upstream: lease.Upstream, started: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stall := time.AfterFunc(attempt.stallTime(), func() { cancel(errStalled) })
-	defer stall.Stop()
-	generation, err := d.opts.Dialer.Engine(lease.Upstream.Address).Generate(ctx, engine.GenerateRequest{
+	a.progress.Store(time.Now().UnixNano())
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		d.watch(ctx, a, cancel)
+	}()
+	call.current.Store(a)
+	err := d.relay(ctx, a)
+	call.current.Store(nil)
+	cancel(nil)
+	<-watched
+	return d.settle(ctx, a, err)
+}
+
+// relay passes an engine's tokens on to the call's output.
+func (d *Dispatcher) relay(ctx context.Context, a *attempt) error {
+	call := a.call
+	req := engine.GenerateRequest{
 		ID: call.Request.ID, Attempt: call.Request.Attempts, Prompt: call.Request.Prompt,
 		Resume: call.Output.Tokens(), MaxTokens: call.Request.MaxTokens,
 		Priority: priorities[call.route.Class],
-	})
+	}
+	if a.kv != nil {
+		req.KV = a.kv.Handle
+	}
+	generation, err := d.opts.Dialer.Engine(a.upstream.Address).Generate(ctx, req)
 	if err != nil {
-		d.reportAttempt(&attempt, err)
 		return err
 	}
 	defer func() { _ = generation.Close() }()
 	for {
 		chunk, err := generation.Next()
 		if err != nil {
-			d.reportAttempt(&attempt, err)
 			return err
 		}
 		if chunk.ID != call.Request.ID || chunk.Attempt != call.Request.Attempts {
 			d.counters.Crossed.Add(1)
 			continue
 		}
-		stall.Reset(attempt.stallTime())
 		if chunk.Done {
-			attempt.recomputed = chunk.Recomputed
-			d.reportAttempt(&attempt, nil)
+			a.recomputed = chunk.Recomputed
 			return nil
 		}
 		if err := call.Output.Append(chunk.Index, chunk.Token); err != nil {
-			failure := &upstream.Failure{Kind: upstream.Crossed, Err: err}
-			d.reportAttempt(&attempt, failure)
-			return failure
+			return &upstream.Failure{Kind: upstream.Crossed, Err: err}
 		}
-		attempt.token(time.Now())
+		now := time.Now()
+		a.token(now)
+		a.progress.Store(now.UnixNano())
 		d.counters.Tokens.Add(1)
 	}
 }
+
+// settle draws the conclusions from the end of an attempt.
+func (d *Dispatcher) settle(ctx context.Context, a *attempt, err error) error {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil:
+		if a.next != nil {
+			a.next.lease.Release()
+			a.next = nil
+		}
+		d.learn(a)
+		d.reportAttempt(a, nil)
+		return nil
+	case errors.Is(cause, errMoved):
+		a.call.mayHaveRun = true
+		d.counters.Moved.Add(1)
+		return err
+	case errors.Is(cause, errSuspended), errors.Is(cause, errCancelled):
+		a.call.mayHaveRun = true
+		return err
+	case errors.Is(cause, errStalled), errors.Is(cause, context.DeadlineExceeded):
+		err = &upstream.Failure{Kind: upstream.Stalled, Err: cause}
+	}
+	d.reportAttempt(a, err)
+	return err
+}
+
+// learn improves the estimates by which streams are moved.
+func (d *Dispatcher) learn(a *attempt) {
+	if a.tokens > 0 && a.recomputed > 0 {
+		d.estimates.Prefilled(a.call.Request.Service, a.recomputed, a.first.Sub(a.started))
+	}
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -36,13 +36,13 @@
 func (d *Dispatcher) callPlain(ctx context.Context, call *Call, lease *route.Lease) (plain.Answer, error) {
 	defer lease.Release()
 	call.Request.Attempts++
-	attempt := attempt{call: call, upstream: lease.Upstream, started: time.Now()}
+	attempt := &attempt{call: call, upstream: lease.Upstream, started: time.Now()}
 	answer, err := d.opts.Dialer.Plain(lease.Upstream.Address).Call(ctx, plain.Call{
 		RequestID: fmt.Sprintf("%s/%d", call.Request.ID, call.Request.Attempts),
 		Route:     call.Request.Route,
 		Body:      call.Request.Body,
 	})
-	d.reportAttempt(&attempt, err)
+	d.reportAttempt(attempt, err)
 	if upstream.KindOf(err) == upstream.Crossed && err != nil {
 		d.counters.Crossed.Add(1)
 	}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -87,6 +87,9 @@
 	resumed chan struct{}
 	// logOut makes the log service unreachable from this host.
 	logOut bool
+	// life ends with the host.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // Start starts a bed and returns when all hosts have the configuration in
@@ -184,6 +187,7 @@
 func (b *Bed) StartNode(id, zone string) *Node {
 	b.t.Helper()
 	n := &Node{bed: b}
+	n.life, n.end = context.WithCancel(context.Background())
 	s := &settings.Settings{
 		Host: id, Listen: id, Address: id, AvailabilityZone: zone,
 		Region: b.document.Zone(zone).Region, Secret: b.opts.Secret, Modules: b.opts.Modules,
@@ -268,11 +272,15 @@
 	n.dead = true
 	n.mu.Unlock()
 	if !dead {
+		n.end()
 		n.Resume()
 		n.Host.Kill()
 	}
 }
 
+// died returns a context that ends with the host.
+func (n *Node) died() context.Context { return n.life }
+
 func (n *Node) isDead() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,11 +27,14 @@
 	// Invalid means that the upstream rejects the call itself; another
 	// upstream would too.
 	Invalid
+	// Stalled means that the upstream was given up because it took too long;
+	// it may have run the call in part or in whole.
+	Stalled
 )
 
 // String names the kind.
 func (k Kind) String() string {
-	return [...]string{"lost", "not sent", "refused", "faulted", "crossed", "invalid"}[k]
+	return [...]string{"lost", "not sent", "refused", "faulted", "crossed", "invalid", "stalled"}[k]
 }
 
 // Failure is a failed attempt at an upstream.
@@ -66,6 +69,12 @@
 	return &Failure{Kind: kind, Err: err}
 }
 
+// CertainlyNotRun reports whether a failure leaves it certain that the upstream
+// did not run the call.
+func CertainlyNotRun(kind Kind) bool {
+	return kind == NotSent || kind == Refused || kind == Invalid
+}
+
 // KindOf returns the kind of a failure, and Lost for any other error.
 func KindOf(err error) Kind {
 	var failure *Failure
