End the calls of a host that is killed, and relays whose caller left

Cause: a relay from another host whose caller had left asked on without a pause, and calls of a killed host of the bed ran on. Both showed as tests that did not end.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -104,7 +104,10 @@
 	route   *document.Route
 	// relayed tells that another host passed the request on to this one.
 	relayed bool
+	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	// stopped is closed when the goroutine that runs the call has ended.
+	stopped chan struct{}
 	// current is the attempt that runs at an engine; nil between attempts.
 	current atomic.Pointer[attempt]
 
@@ -267,20 +270,28 @@
 	if d.perCustomer[customer.Name] >= limit {
 		return refuse(request.ReasonCustomerLimit, retrySoon, "customer %q has %d requests here", customer.Name, limit)
 	}
+	call.ready()
 	d.perCustomer[customer.Name]++
 	d.calls[call.Request.ID] = call
 	return nil
 }
 
+// ready prepares a call to be started; from then on it can be cancelled.
+func (c *Call) ready() {
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	c.stopped = make(chan struct{})
+}
+
 func (d *Dispatcher) start(call *Call) {
-	ctx, stop := context.WithDeadline(context.Background(), call.Request.Deadline)
-	ctx, cancel := context.WithCancelCause(ctx)
-	call.cancel = cancel
+	ctx, stop := context.WithDeadline(call.ctx, call.Request.Deadline)
 	d.running.Add(1)
 	go func() {
 		defer d.running.Done()
+		defer close(call.stopped)
 		defer stop()
-		d.end(call, d.run(ctx, call))
+		if result := d.run(ctx, call); !suspended(ctx, result) {
+			d.end(call, result)
+		}
 	}()
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -320,5 +320,6 @@
 		_ = h.server.Close()
 	}
 	h.cancel()
+	h.dispatcher.Abort()
 	h.work.Wait()
 }
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -62,6 +62,9 @@
 func (f *Follower) followRemote(ctx context.Context, hostID, id string, offset int, emit func(entry.Part) error) (bool, error) {
 	found := false
 	for {
+		if err := ctx.Err(); err != nil {
+			return found, err
+		}
 		host, known := f.Snapshot().Hosts[hostID]
 		if !known || hostID == f.Snapshot().Self.ID {
 			return found, nil
