Look again at excluded upstreams while a call waits

Cause: a call that had failed at all upstreams while all were closed waited to its deadline with all of them excluded.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -24,6 +24,9 @@
 	// call are tried again.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// excludedWait is the longest wait in the queue with one set of excluded
+	// upstreams.
+	excludedWait = 500 * time.Millisecond
 )
 
 func (d *Dispatcher) query(call *Call, exclude map[string]bool) route.Query {
@@ -73,12 +76,14 @@
 			return nil, d.giveUp(call, request.ReasonHeldBack)
 		}
 		d.readmit(ctx, call, snapshot, failed)
-		lease, err := d.opts.Router.Acquire(ctx, d.query(call, failed))
+		lease, err := d.queue(ctx, call, failed)
 		switch {
 		case err == nil:
 			return lease, nil
 		case ctx.Err() != nil:
 			return nil, d.giveUp(call, endReason(ctx))
+		case errors.Is(err, context.DeadlineExceeded):
+			continue
 		case !call.mayHaveRun:
 			return nil, d.giveUp(call, refusalReason(err))
 		}
@@ -86,6 +91,17 @@
 	}
 }
 
+// queue waits for an upstream; where some are excluded only for a while, since
+// they may be the only ones left by then.
+func (d *Dispatcher) queue(ctx context.Context, call *Call, failed map[string]bool) (*route.Lease, error) {
+	if len(failed) > 0 {
+		bounded, cancel := context.WithTimeout(ctx, excludedWait)
+		defer cancel()
+		ctx = bounded
+	}
+	return d.opts.Router.Acquire(ctx, d.query(call, failed))
+}
+
 func refusalReason(err error) request.Reason {
 	var overload *route.OverloadError
 	if errors.As(err, &overload) {
@@ -104,7 +120,7 @@
 // readmit lets a call try upstreams again that failed it, after a wait that
 // doubles each time, once it has failed at all that are open of a version.
 func (d *Dispatcher) readmit(ctx context.Context, call *Call, snapshot *control.Snapshot, failed map[string]bool) {
-	if !exhausted(snapshot.Upstreams[call.Request.Service], failed) {
+	if len(failed) == 0 || !exhausted(snapshot.Upstreams[call.Request.Service], failed) {
 		return
 	}
 	pause(ctx, min(maxBackoff, minBackoff<<min(call.rounds, 10)))
