Try excluded upstreams again when this host may use no others

Cause: upstreams at which this host has no slots counted as left to try, so a call that had failed at all others waited to its deadline.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -83,6 +83,7 @@
 		case ctx.Err() != nil:
 			return nil, d.giveUp(call, endReason(ctx))
 		case errors.Is(err, context.DeadlineExceeded):
+			clear(failed)
 			continue
 		case !call.mayHaveRun:
 			return nil, d.giveUp(call, refusalReason(err))
@@ -92,7 +93,7 @@
 }
 
 // queue waits for an upstream; where some are excluded only for a while, since
-// they may be the only ones left by then.
+// they may be the only ones that this host may use.
 func (d *Dispatcher) queue(ctx context.Context, call *Call, failed map[string]bool) (*route.Lease, error) {
 	if len(failed) > 0 {
 		bounded, cancel := context.WithTimeout(ctx, excludedWait)
@@ -120,7 +121,7 @@
 // readmit lets a call try upstreams again that failed it, after a wait that
 // doubles each time, once it has failed at all that are open of a version.
 func (d *Dispatcher) readmit(ctx context.Context, call *Call, snapshot *control.Snapshot, failed map[string]bool) {
-	if len(failed) == 0 || !exhausted(snapshot.Upstreams[call.Request.Service], failed) {
+	if len(failed) == 0 || !exhausted(time.Now(), snapshot.Upstreams[call.Request.Service], failed) {
 		return
 	}
 	pause(ctx, min(maxBackoff, minBackoff<<min(call.rounds, 10)))
@@ -129,10 +130,10 @@
 }
 
 // exhausted reports whether there is a version all of whose open upstreams failed.
-func exhausted(upstreams []*control.Upstream, failed map[string]bool) bool {
+func exhausted(now time.Time, upstreams []*control.Upstream, failed map[string]bool) bool {
 	open, left := map[string]bool{}, map[string]bool{}
 	for _, u := range upstreams {
-		if u.Open {
+		if u.Open && u.LimitAt(now) > 0 {
 			open[u.Version] = true
 			left[u.Version] = left[u.Version] || !failed[u.ID]
 		}
