--- a/internal/dispatch/suspend.go
+++ b/internal/dispatch/suspend.go
@@ -27,13 +27,18 @@
 	return result.Outcome != request.Answer && errors.Is(context.Cause(ctx), errSuspended)
 }
 
-// Abort stops all calls without an end, as the death of the process does.
+// Abort stops the calls that may run again without an end, as the death of the
+// process does. A call that must run once may be at its upstream and is left
+// alone.
 func (d *Dispatcher) Abort() {
 	d.Close()
-	for _, call := range d.filter((*Call).open) {
+	calls := d.Movable()
+	for _, call := range calls {
 		call.cancel(errSuspended)
 	}
-	d.running.Wait()
+	for _, call := range calls {
+		<-call.stopped
+	}
 }
 
 // Movable returns the calls that may go on at another host: those that have
