Hold back requests that crash the upstreams that run them

Cause: a request that kills each upstream that runs it was tried again on the next, and its caller's repeat at other hosts went on.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -20,6 +20,11 @@
 	// pinnedFailures is the number of failures after which a stream may go on
 	// at another version.
 	pinnedFailures = 3
+	// suspectFailures is the number of failures in a row after which a call
+	// whose connection broke waits for suspectPause, so that a request that
+	// crashes upstreams is held back before it reaches another one.
+	suspectFailures = 2
+	suspectPause    = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait before upstreams that failed a
 	// call are tried again.
 	minBackoff = 50 * time.Millisecond
@@ -191,6 +196,9 @@
 	if ran && !progressed {
 		d.awaitBudget(ctx, call)
 	}
+	if kind == upstream.Lost && call.failures >= suspectFailures {
+		pause(ctx, suspectPause)
+	}
 	d.counters.Retried.Add(1)
 	return nil
 }
--- a/internal/modules/modules.go
+++ b/internal/modules/modules.go
@@ -8,6 +8,7 @@
 	_ "github.com/marigoldmux/marigoldmux/internal/control/fleet"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/listing"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/membership"
+	_ "github.com/marigoldmux/marigoldmux/internal/control/poison"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/rollout"
 	_ "github.com/marigoldmux/marigoldmux/internal/control/upstreams"
 	_ "github.com/marigoldmux/marigoldmux/internal/entry"
