Mend two races, and move streams of warm upstreams in the reclaim test

The router's test read the balancer's fields without its lock. The reclaim test had been cut to 4 streams, since more did not move: with all upstreams believed cold, 9 of them bear 18 streams, and 16 were there, so that no slot was free.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -34,19 +34,30 @@
 	excludedWait = 500 * time.Millisecond
 )
 
-func (d *Dispatcher) query(call *Call, exclude map[string]bool) route.Query {
+// query describes what a call needs. A version other than "" keeps it there
+// while that version takes new work.
+func (d *Dispatcher) query(call *Call, version string, exclude map[string]bool) route.Query {
 	q := route.Query{
 		Service: call.Request.Service, Route: call.Request.Route, Customer: call.Request.Customer,
 		Class: call.route.Class, Deadline: call.Request.Deadline,
 		Cost: call.Request.MaxTokens - call.Output.Len(), Exclude: exclude,
 	}
 	q.Prefix = prefix.Hash(call.Request.Prompt)
-	if call.Output.Len() > 0 && call.failures < pinnedFailures && d.versionOpen(q.Service, call.version) {
-		q.Version = call.version
+	if version != "" && d.versionOpen(q.Service, version) {
+		q.Version = version
 	}
 	return q
 }
 
+// pinned returns the version at which a stream that has begun goes on, or ""
+// where it may go on at any.
+func (c *Call) pinned() string {
+	if c.Output.Len() == 0 || c.failures >= pinnedFailures {
+		return ""
+	}
+	return c.version
+}
+
 // versionOpen reports whether a version has an upstream that takes new work.
 func (d *Dispatcher) versionOpen(service, version string) bool {
 	for _, u := range d.opts.Snapshot().Upstreams[service] {
@@ -105,7 +116,7 @@
 		defer cancel()
 		ctx = bounded
 	}
-	return d.opts.Router.Acquire(ctx, d.query(call, failed))
+	return d.opts.Router.Acquire(ctx, d.query(call, call.pinned(), failed))
 }
 
 func refusalReason(err error) request.Reason {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/resume"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
@@ -57,7 +58,8 @@
 				cancel(errStalled)
 				return
 			}
-			if way := d.departure(a, now); way != 0 && way != resume.Stay && d.move(ctx, a, way) {
+			way, deadline := d.departure(a, now)
+			if way != 0 && way != resume.Stay && d.move(ctx, a, way, deadline) {
 				cancel(errMoved)
 				return
 			}
@@ -72,18 +74,18 @@
 	return now.Sub(last) >= bound
 }
 
-// departure returns how a stream is to go on whose upstream is leaving, and 0
-// when it is not.
-func (d *Dispatcher) departure(a *attempt, now time.Time) resume.Way {
+// departure returns how a stream is to go on whose upstream is leaving, and
+// until when it must; the way is 0 when the upstream is not leaving.
+func (d *Dispatcher) departure(a *attempt, now time.Time) (resume.Way, time.Time) {
 	deadline, leaving := d.opts.Snapshot().Reclaims[a.upstream.ID]
 	if !leaving {
-		return 0
+		return 0, time.Time{}
 	}
-	left := unknownNotice
-	if !deadline.IsZero() {
-		left = deadline.Sub(now)
+	if deadline.IsZero() {
+		deadline = now.Add(unknownNotice)
 	}
-	return resume.Choose(a.stream(), d.estimates.Costs(a.call.Request.Service), left)
+	costs := d.estimates.Costs(a.call.Request.Service)
+	return resume.Choose(a.stream(), costs, deadline.Sub(now)), deadline
 }
 
 // stream describes the attempt's stream as it is now.
@@ -97,13 +99,17 @@
 }
 
 // move finds another upstream while the present one still generates, and
-// brings the KV cache there if that is the way. It reports success.
-func (d *Dispatcher) move(ctx context.Context, a *attempt, way resume.Way) bool {
+// brings the KV cache there if that is the way. It reports success. The stream
+// holds a slot already, so it goes before new requests of any class.
+func (d *Dispatcher) move(ctx context.Context, a *attempt, way resume.Way, deadline time.Time) bool {
 	exclude := map[string]bool{a.upstream.ID: true}
 	for id := range d.opts.Snapshot().Reclaims {
 		exclude[id] = true
 	}
-	lease, err := d.opts.Router.Acquire(ctx, d.query(a.call, exclude))
+	q := d.query(a.call, a.upstream.Version, exclude)
+	q.Class = document.ClassInteractive
+	q.Deadline = deadline
+	lease, err := d.opts.Router.Acquire(ctx, q)
 	if err != nil {
 		return false
 	}
--- a/internal/route/balancer_test.go
+++ b/internal/route/balancer_test.go
@@ -17,8 +17,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		var current atomic.Pointer[control.Snapshot]
 		current.Store(snapshot(upstreams(1, 1)))
-		reports := 0
-		b := NewBalancer(current.Load, func(control.Input) { reports++ }, 1)
+		var reports atomic.Int64
+		b := NewBalancer(current.Load, func(control.Input) { reports.Add(1) }, 1)
 		q := query("small", document.ClassStandard)
 		q.Deadline = time.Now().Add(time.Minute)
 		first, err := b.Acquire(t.Context(), q)
@@ -38,13 +38,17 @@
 		defer cancel()
 		_, err = b.Acquire(ctx, q)
 		require.ErrorIs(t, err, context.DeadlineExceeded)
+		b.mu.Lock()
 		require.Zero(t, b.core.Waiting())
+		b.mu.Unlock()
 		second.Release()
 		third.Release()
 		synctest.Wait()
 		time.Sleep(time.Second)
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		require.Zero(t, b.inFlight)
 		require.False(t, b.ticking)
-		require.Positive(t, reports)
+		require.Positive(t, reports.Load())
 	})
 }
--- a/internal/survive/leave_test.go
+++ b/internal/survive/leave_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,9 @@
 	"github.com/marigoldmux/marigoldmux/internal/testbed"
 )
 
+// warmCallers is the number of callers that ask at once in warm.
+const warmCallers = 40
+
 func start(t *testing.T, hosts int) *testbed.Bed {
 	config, err := deploy.Config("chomkaew")
 	require.NoError(t, err)
@@ -39,6 +43,23 @@
 	return ids
 }
 
+// warm sends short questions for a while, so that the upstreams are known to
+// be warm.
+func warm(bed *testbed.Bed, d time.Duration) {
+	end := time.Now().Add(d)
+	var work sync.WaitGroup
+	for i := range warmCallers {
+		work.Go(func() {
+			for time.Now().Before(end) {
+				body := fmt.Sprintf(`{"prompt": "which cake for table %d", "maxTokens": 5}`, i)
+				bed.Nodes[i%len(bed.Nodes)].Do(context.Background(), http.MethodPost, "/v1/services/advice/routes/menu", body,
+					map[string]string{"X-Customer": "web-chat"})
+			}
+		})
+	}
+	work.Wait()
+}
+
 // Any host finds at once the requests of a host that has left.
 func TestAnyHostFindsRequestsOfHostThatLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -65,7 +86,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		bed := start(t, 4)
 		defer bed.Close()
-		ids := submit(t, bed.Nodes[0], 4)
+		warm(bed, 40*time.Second)
+		ids := submit(t, bed.Nodes[0], 16)
 		time.Sleep(3 * time.Second)
 		restart := 0
 		for _, id := range ids {
