End a process with a reclaim notice once its requests are handed over

Cause: a host that was to be reclaimed handed its requests over and then ran on until it was taken away. serve now stops as at SIGTERM, and no stop outlasts the notice. The test of processes fails without it: the process does not end.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -24,7 +24,8 @@
 func (*serveCommand) Synopsis() string { return "run one entry host" }
 func (*serveCommand) Usage() string {
 	return `serve -settings FILE
-  Runs one entry host until SIGTERM or SIGINT, then stops it gracefully.
+  Runs one entry host until SIGTERM, SIGINT or a reclaim notice, then stops it
+  gracefully.
 `
 }
 
@@ -57,7 +58,7 @@
 	if err := h.Start(nil); err != nil {
 		return fail(err)
 	}
-	<-ctx.Done()
+	h.AwaitLeaving(ctx)
 	if err := h.Stop(context.Background()); err != nil {
 		return fail(err)
 	}
--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -23,6 +23,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/document"
 	"github.com/marigoldmux/marigoldmux/internal/entry"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/standin"
 )
@@ -204,6 +205,11 @@
 		require.NoError(t, <-second.done, "the process ended with an error")
 	})
 
+	t.Run("a process with a reclaim notice ends by itself", func(t *testing.T) {
+		c.Cloud.Notify(cloud.Notice{HostID: third.id, Deadline: time.Now().Add(patience)})
+		require.NoError(t, <-third.done)
+	})
+
 	t.Run("a killed process's answer is not run again", func(t *testing.T) {
 		status, body := c.book(first, "bo-monday")
 		require.Equal(t, http.StatusOK, status, body)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -285,9 +285,12 @@
 	if timeout == 0 {
 		timeout = defaultDrainTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	deadline := time.Now().Add(timeout)
+	if notice := h.loop.Snapshot().Deadline; !notice.IsZero() && notice.Before(deadline) {
+		deadline = notice
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	deadline, _ := ctx.Deadline()
 	h.loop.Put(ctx, control.Leaving{Deadline: deadline})
 	h.mover.HandOver(ctx)
 	err := h.dispatcher.Drain(ctx)
@@ -308,16 +311,24 @@
 
 // handOverOnNotice hands all requests over once this host is to be reclaimed.
 func (h *Host) handOverOnNotice(ctx context.Context) {
+	if h.AwaitLeaving(ctx) {
+		h.mover.HandOver(ctx)
+	}
+}
+
+// AwaitLeaving waits until this host is to leave: it is being stopped or has a
+// reclaim notice. It reports false when the context ends first.
+func (h *Host) AwaitLeaving(ctx context.Context) bool {
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	for !h.loop.Snapshot().Leaving {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
-	h.mover.HandOver(ctx)
+	return true
 }
 
 // retireClaims lets repeats of calls that must run at most once learn at other
