--- a/internal/dev/process_test.go
+++ b/internal/dev/process_test.go
@@ -107,6 +107,17 @@
 
 func (p *process) signal(signal os.Signal) { require.NoError(p.t, p.command.Process.Signal(signal)) }
 
+// ended waits for the process to end and returns its error.
+func (p *process) ended() error {
+	select {
+	case err := <-p.done:
+		return err
+	case <-time.After(patience):
+		require.Fail(p.t, "the process does not end", p.id)
+		return nil
+	}
+}
+
 // await polls a condition until it holds.
 func (c *cluster) await(condition func() bool) {
 	c.t.Helper()
@@ -202,12 +213,12 @@
 		second.signal(syscall.SIGTERM)
 		follower.readToEnd()
 		require.Equal(t, standin.Answer("a menu for eighty", tokens), follower.tokens)
-		require.NoError(t, <-second.done, "the process ended with an error")
+		require.NoError(t, second.ended(), "the process ended with an error")
 	})
 
 	t.Run("a process with a reclaim notice ends by itself", func(t *testing.T) {
 		c.Cloud.Notify(cloud.Notice{HostID: third.id, Deadline: time.Now().Add(patience)})
-		require.NoError(t, <-third.done)
+		require.NoError(t, third.ended())
 	})
 
 	t.Run("a killed process's answer is not run again", func(t *testing.T) {
@@ -215,7 +226,7 @@
 		require.Equal(t, http.StatusOK, status, body)
 		runs := len(c.Store.Runs())
 		first.signal(syscall.SIGKILL)
-		require.Error(t, <-first.done, "the process was to be killed")
+		require.Error(t, first.ended(), "the process was to be killed")
 		c.await(func() bool {
 			again, same := c.book(last, "bo-monday")
 			return again == http.StatusOK && same == body
