--- a/internal/claim/copies.go
+++ b/internal/claim/copies.go
@@ -7,9 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 	"github.com/marigoldmux/marigoldmux/internal/request"
 )
 
@@ -126,7 +125,7 @@
 			hosts = append(hosts, host)
 		}
 	}
-	weight := func(h control.EntryHost) uint64 { return xxhash.Sum64String(place + "\x00" + h.ID) }
+	weight := func(h control.EntryHost) uint64 { return rendezvous.Weight(place, h.ID) }
 	slices.SortFunc(hosts, func(a, b control.EntryHost) int { return cmp.Compare(weight(b), weight(a)) })
 	return hosts
 }
--- a/internal/claim/home.go
+++ b/internal/claim/home.go
@@ -6,9 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
 // homeInterval is the time between two checks of which shards are at home here.
@@ -18,14 +17,13 @@
 // hashing over the live hosts. Two hosts that both take themselves for it do
 // no harm: rights come from the log alone.
 func home(snapshot *control.Snapshot, index int) string {
-	best, bestWeight := "", uint64(0)
+	candidates := make([]string, 0, len(snapshot.Hosts))
 	for id, host := range snapshot.Hosts {
-		weight := xxhash.Sum64String(strconv.Itoa(index) + "\x00" + id)
-		if !host.Leaving && (best == "" || weight > bestWeight) {
-			best, bestWeight = id, weight
+		if !host.Leaving {
+			candidates = append(candidates, id)
 		}
 	}
-	return best
+	return rendezvous.First(strconv.Itoa(index), candidates)
 }
 
 // keepHome keeps the shards of this host read and their checkpoints fresh.
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -3,9 +3,8 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
 // chooseHosts returns live hosts in the order in which a caller should try
@@ -14,7 +13,9 @@
 // empty service stands for any.
 func chooseHosts(snapshot *control.Snapshot, service, prefix string, count int) []control.EntryHost {
 	hosts := serving(snapshot, service)
-	sort.Slice(hosts, func(i, j int) bool { return weight(prefix, hosts[i]) > weight(prefix, hosts[j]) })
+	sort.Slice(hosts, func(i, j int) bool {
+		return rendezvous.Weight(prefix, hosts[i].ID) > rendezvous.Weight(prefix, hosts[j].ID)
+	})
 	var chosen, rest []control.EntryHost
 	zones := map[string]bool{}
 	for _, host := range hosts {
@@ -48,7 +49,3 @@
 	}
 	return hosts
 }
-
-func weight(prefix string, host control.EntryHost) uint64 {
-	return xxhash.Sum64String(prefix + "\x00" + host.ID)
-}
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -17,6 +16,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/dial"
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 	"github.com/marigoldmux/marigoldmux/internal/request"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
 )
@@ -43,12 +43,10 @@
 			hosts = append(hosts, host)
 		}
 	}
-	sort.Slice(hosts, func(i, j int) bool { return weight(id, hosts[i].ID) > weight(id, hosts[j].ID) })
+	sort.Slice(hosts, func(i, j int) bool { return rendezvous.Weight(id, hosts[i].ID) > rendezvous.Weight(id, hosts[j].ID) })
 	return hosts
 }
 
-func weight(id, host string) uint64 { return xxhash.Sum64String(id + "\x00" + host) }
-
 // Receiver returns the host to which a request of this host goes: the first by
 // rank that stays and is in another zone, or else in the same.
 func Receiver(snapshot *control.Snapshot, id string) (control.EntryHost, bool) {
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -11,7 +11,8 @@
 
 // Weight returns the weight of a candidate for a key.
 func Weight(key, candidate string) uint64 {
-	h := xxhash.New()
+	var h xxhash.Digest
+	h.Reset()
 	_, _ = h.WriteString(key)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.WriteString(candidate)
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -8,6 +8,8 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
 const (
@@ -113,7 +115,7 @@
 		if !accept(id) {
 			continue
 		}
-		weight := xxhash.Sum64String(upstream + "\x00" + id)
+		weight := rendezvous.Weight(upstream, id)
 		if best == "" || weight > highest {
 			best, highest = id, weight
 		}
