--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -1,7 +1,7 @@
 // Package poison holds back requests that crash the upstreams that run them.
 //
-// Hosts report the requests that were lost with an upstream to the judge of the
-// service, a live host chosen by rendezvous hashing. The judge holds a request
+// Hosts report the requests that were lost with an upstream to the coordinator
+// of the service, a live host chosen by rendezvous hashing. It holds a request
 // back when it was lost in two crashes and no other request of the second crash
 // was lost as often. An answer clears a request. A loss is no crash where the
 // upstream goes on with others, is leaving or has a reclaim notice.
@@ -29,16 +29,16 @@
 	// crashWindow is the time within which losses at one upstream belong to
 	// one crash.
 	crashWindow = 2 * time.Second
-	// settleTime is how long after its first loss a crash is judged, so that
+	// settleTime is how long after its first loss a crash is evaluated, so that
 	// the losses of all hosts are in.
 	settleTime = 600 * time.Millisecond
 	// memory is how long a loss counts.
 	memory = 10 * time.Minute
-	// aloneLosses is the number of crashes after which a request is held back
-	// that no other request of the last crash equals; anyLosses is the number
+	// holdLosses is the number of crashes after which a request is held back
+	// that no other request of the last crash equals; tieLosses is the number
 	// after which it is held back in any case.
-	aloneLosses = 2
-	anyLosses   = 4
+	holdLosses = 2
+	tieLosses   = 4
 )
 
 // Hold is the log entry of a request that is held back. Holds are short, so
@@ -53,7 +53,7 @@
 	service, upstream string
 	first, last       time.Time
 	lost              map[uint64]bool
-	judged            bool
+	evaluated         bool
 }
 
 func init() { kernel.Register(&Machine{}) }
@@ -128,7 +128,7 @@
 		}
 	case control.Tick:
 		m.forget(now)
-		return m.judgeDue(now)
+		return m.evaluateDue(now)
 	}
 	return nil
 }
@@ -151,13 +151,13 @@
 	}
 }
 
-// ended reports a lost attempt, and the answers that speak for a request or an
-// upstream that was reported before.
+// ended reports a lost attempt, and the answers that refute a loss which was
+// reported before.
 func (m *Machine) ended(now time.Time, in control.AttemptEnded) []control.Output {
 	suspects := &peerv1.Suspects{Service: in.Service, Upstream: in.Upstream}
 	switch {
 	case in.Failure == nil:
-		m.speakFor(suspects, in)
+		m.refute(suspects, in)
 	case in.Failure.Kind == upstream.Lost:
 		m.reported[in.Fingerprint] = now
 		m.losses[in.Upstream] = now
@@ -167,16 +167,16 @@
 		return nil
 	}
 	m.take(now, suspects)
-	judge := rendezvous.First("poison/"+in.Service, m.members)
-	if judge == m.self.ID || judge == "" {
+	coordinator := rendezvous.First("poison/"+in.Service, m.members)
+	if coordinator == m.self.ID || coordinator == "" {
 		return nil
 	}
 	message := &peerv1.Message{Body: &peerv1.Message_Suspects{Suspects: suspects}}
-	return []control.Output{control.Tell{To: judge, Message: message}}
+	return []control.Output{control.Tell{To: coordinator, Message: message}}
 }
 
-// speakFor notes what the answer to a request refutes.
-func (m *Machine) speakFor(suspects *peerv1.Suspects, in control.AttemptEnded) {
+// refute notes which losses the answer to a request refutes.
+func (m *Machine) refute(suspects *peerv1.Suspects, in control.AttemptEnded) {
 	if _, reported := m.reported[in.Fingerprint]; reported {
 		delete(m.reported, in.Fingerprint)
 		suspects.Answered = []uint64{in.Fingerprint}
@@ -219,13 +219,13 @@
 	}
 }
 
-// judgeDue judges the crashes whose losses are in.
-func (m *Machine) judgeDue(now time.Time) []control.Output {
+// evaluateDue evaluates the crashes whose losses are in.
+func (m *Machine) evaluateDue(now time.Time) []control.Output {
 	var outs []control.Output
 	for _, c := range m.crashes {
-		if !c.judged && now.Sub(c.first) >= settleTime {
-			c.judged = true
-			outs = append(outs, m.judge(now, c)...)
+		if !c.evaluated && now.Sub(c.first) >= settleTime {
+			c.evaluated = true
+			outs = append(outs, m.evaluate(now, c)...)
 		}
 	}
 	return outs
@@ -244,9 +244,9 @@
 	return c
 }
 
-// judge holds back the request of a crash that was lost most often, if it is
+// evaluate holds back the request of a crash that was lost most often, if it is
 // one alone or was lost very often.
-func (m *Machine) judge(now time.Time, c *crash) []control.Output {
+func (m *Machine) evaluate(now time.Time, c *crash) []control.Output {
 	losses := map[uint64]int{}
 	for _, other := range m.crashes {
 		for fingerprint := range c.lost {
@@ -266,8 +266,8 @@
 	}
 	var outs []control.Output
 	for fingerprint, n := range losses {
-		guilty := n == most && ((n >= aloneLosses && equals == 1) || n >= anyLosses)
-		if guilty && m.holds[fingerprint].Before(now) {
+		hold := n == most && ((n >= holdLosses && equals == 1) || n >= tieLosses)
+		if hold && m.holds[fingerprint].Before(now) {
 			outs = append(outs, m.announce(now, fingerprint)...)
 		}
 	}
--- a/internal/control/poison/poison_test.go
+++ b/internal/control/poison/poison_test.go
@@ -21,9 +21,9 @@
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 )
 
-const guilty = uint64(666)
+const crasher = uint64(666)
 
-// bench is one machine that is its own judge.
+// bench is one machine that is its own coordinator.
 type bench struct {
 	machine poison.Machine
 	now     time.Time
@@ -49,7 +49,7 @@
 	b.wait()
 }
 
-// wait lets the losses of a crash be judged.
+// wait lets the losses of a crash be evaluated.
 func (b *bench) wait() {
 	b.now = b.now.Add(10 * time.Second)
 	b.machine.Step(b.now, control.Tick{})
@@ -63,31 +63,31 @@
 
 func TestSecondCrashHoldsTheRequestAndNoNeighbour(t *testing.T) {
 	b := newBench()
-	b.crash("u1", guilty, 1, 2, 3)
+	b.crash("u1", crasher, 1, 2, 3)
 	require.Empty(t, b.held())
-	b.crash("u2", 4, 5, guilty)
+	b.crash("u2", 4, 5, crasher)
 	require.Len(t, b.held(), 1)
-	require.Contains(t, b.held(), guilty)
+	require.Contains(t, b.held(), crasher)
 }
 
-// TestCompanionIsNotHeldBeforeTheyPart retries a neighbour at the same
-// upstreams as the guilty request; only the guilty one is lost again alone.
-func TestCompanionIsNotHeldBeforeTheyPart(t *testing.T) {
+// TestRequestsLostTogetherAreNotHeld retries a neighbour at the same
+// upstreams as the crashing request; only the first is lost again alone.
+func TestRequestsLostTogetherAreNotHeld(t *testing.T) {
 	b := newBench()
-	b.crash("u1", guilty, 1)
-	b.crash("u2", guilty, 1)
+	b.crash("u1", crasher, 1)
+	b.crash("u2", crasher, 1)
 	require.Empty(t, b.held(), "both are as suspect")
 	b.attempt("u3", 1, b.now, nil)
-	b.crash("u4", guilty)
+	b.crash("u4", crasher)
 	require.Len(t, b.held(), 1)
-	require.Contains(t, b.held(), guilty)
+	require.Contains(t, b.held(), crasher)
 }
 
 func TestLossesThatAreNoCrashDoNotCount(t *testing.T) {
 	b := newBench()
 	for i := range 6 {
 		id := fmt.Sprintf("u%d", i)
-		b.attempt(id, guilty, b.now.Add(-time.Second), &upstream.Failure{Kind: upstream.Lost})
+		b.attempt(id, crasher, b.now.Add(-time.Second), &upstream.Failure{Kind: upstream.Lost})
 		b.attempt(id, uint64(i), b.now.Add(-time.Second), nil)
 		b.wait()
 	}
@@ -95,8 +95,8 @@
 
 	b = newBench()
 	b.machine.Step(b.now, control.NoticesListed{Notices: []cloud.Notice{{HostID: "u1"}, {HostID: "u2"}}})
-	b.crash("u1", guilty)
-	b.crash("u2", guilty)
+	b.crash("u1", crasher)
+	b.crash("u2", crasher)
 	require.Empty(t, b.held(), "the upstreams were reclaimed")
 }
 
@@ -149,12 +149,12 @@
 	})
 }
 
-// TestHoldReachesALateHostThroughTheLog starts a host after the verdict.
+// TestHoldReachesALateHostThroughTheLog starts a host after the decision.
 func TestHoldReachesALateHostThroughTheLog(t *testing.T) {
 	data := `{"fingerprint": 666, "until": "2030-01-01T00:00:00Z"}`
 	b := newBench()
 	b.machine.Step(b.now, control.Record{Stream: logsvc.StreamHolds, Record: logsvc.Record{Data: []byte(data)}})
-	require.Contains(t, b.held(), guilty)
+	require.Contains(t, b.held(), crasher)
 }
 
 func ask(n *testbed.Node, prompt string, tokens int) int {
