--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -88,7 +88,7 @@
 // Ended counts the end of a request. Requests that ended through a fault or a
 // wish of their caller are not counted.
 func (r *Recorder) Ended(end dispatch.RequestEnded) {
-	reason, counted := judge(end)
+	reason, counted := classify(end)
 	if !counted {
 		return
 	}
@@ -106,8 +106,8 @@
 	}
 }
 
-// judge returns why a request counts as bad, or "" for a good one.
-func judge(end dispatch.RequestEnded) (reason string, counted bool) {
+// classify returns why a request counts as bad, or "" for a good one.
+func classify(end dispatch.RequestEnded) (reason string, counted bool) {
 	switch end.Reason {
 	case request.ReasonInvalid, request.ReasonCancelled, request.ReasonCustomerLimit,
 		request.ReasonHeldBack, request.ReasonClaimedBefore, request.ReasonKeyExpired:
--- a/internal/claim/copies.go
+++ b/internal/claim/copies.go
@@ -130,9 +130,9 @@
 	return hosts
 }
 
-// keepers returns the hosts of other zones that keep this host's copies of a
+// replicas returns the hosts of other zones that keep this host's copies of a
 // place; where there are none, hosts of its own zone.
-func keepers(snapshot *control.Snapshot, place string) []control.EntryHost {
+func replicas(snapshot *control.Snapshot, place string) []control.EntryHost {
 	hosts := ranked(snapshot, place)
 	away := slices.DeleteFunc(slices.Clone(hosts), func(h control.EntryHost) bool {
 		return h.Zone == snapshot.Self.Zone || h.Leaving
@@ -147,7 +147,7 @@
 // answered.
 func (s *Store) spread(ctx context.Context, place string, ended []Ended, retired bool) {
 	var calls sync.WaitGroup
-	for _, host := range keepers(s.snapshot(), place) {
+	for _, host := range replicas(s.snapshot(), place) {
 		// A copy that does not arrive leaves the log service to tell the result.
 		calls.Go(func() { _ = s.peers.Keep(ctx, host.ID, ended, retired) })
 	}
--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -57,8 +57,8 @@
 // recentPuts is the number of entries whose outcome is kept.
 const recentPuts = 64
 
-// judged reports whether the outcome of an ID is known. The first is final.
-func (s *State) judged(id string) bool {
+// settled reports whether the outcome of an ID is known. The first is final.
+func (s *State) settled(id string) bool {
 	for _, known := range s.Recent {
 		if known.ID == id && id != "" {
 			return true
@@ -77,7 +77,7 @@
 // Apply folds a Put. An entry that is not valid or has a stale base is ignored.
 func Apply(state *State, rec logsvc.Record, entry json.RawMessage) {
 	var put Put
-	if json.Unmarshal(entry, &put) != nil || state.judged(put.ID) {
+	if json.Unmarshal(entry, &put) != nil || state.settled(put.ID) {
 		return
 	}
 	current := int64(NoBase)
--- a/internal/control/listing/listing.go
+++ b/internal/control/listing/listing.go
@@ -1,7 +1,7 @@
 // Package listing brings the platform's host list and its reclaim notices to
 // every host. In a small region each host reads them itself. In a large one
 // two hosts do; the first of them tells the others what changed, and a host
-// whose list has another digest than the teller's reads the list itself.
+// whose list has another digest than the publisher's reads the list itself.
 package listing
 
 import (
@@ -27,7 +27,7 @@
 	readInterval = 400 * time.Millisecond
 	// readTimeout is how long an unanswered read holds up the next.
 	readTimeout = 3 * time.Second
-	// reminderInterval is the time between two messages of the teller when
+	// reminderInterval is the time between two messages of the publisher when
 	// nothing changes.
 	reminderInterval = 30 * time.Second
 	// silence is how long a host goes without a message before it reads itself.
@@ -46,9 +46,9 @@
 	self     control.Self
 	document *document.Document
 	members  []string
-	// reader tells that this host reads the list, teller that it also tells
+	// reader tells that this host reads the list, publisher that it also tells
 	// the others.
-	reader, teller bool
+	reader, publisher bool
 
 	hosts   map[string]hostlist.Host
 	asOf    time.Time
@@ -59,7 +59,7 @@
 	waiting bool
 	heard   time.Time
 	told    time.Time
-	// repair tells that this host's list differs from the teller's.
+	// repair tells that this host's list differs from the publisher's.
 	repair bool
 }
 
@@ -124,13 +124,13 @@
 		}
 	}
 	if len(m.members) <= allRead {
-		m.reader, m.teller = true, false
+		m.reader, m.publisher = true, false
 		return
 	}
 	order := rendezvous.Order(electionKey, candidates)
 	place := slices.Index(order, m.self.ID)
 	m.reader = place >= 0 && place < readers
-	m.teller = place == 0
+	m.publisher = place == 0
 }
 
 func (m *Machine) tick(now time.Time) []control.Output {
@@ -155,7 +155,7 @@
 
 // remind tells the others the digest from time to time.
 func (m *Machine) remind(now time.Time) []control.Output {
-	if !m.teller || now.Sub(m.told) < reminderInterval {
+	if !m.publisher || now.Sub(m.told) < reminderInterval {
 		return nil
 	}
 	return m.tell(now, &peerv1.ListDelta{})
@@ -191,7 +191,7 @@
 	m.hosts = next
 	m.digest = digest(next)
 	outs := []control.Output{m.listed()}
-	if m.teller {
+	if m.publisher {
 		outs = append(outs, m.tell(now, delta)...)
 	}
 	return outs
@@ -226,7 +226,7 @@
 	}
 	m.notices = notices
 	outs := []control.Output{control.Raise{Input: control.NoticesListed{Notices: notices}}}
-	if m.teller {
+	if m.publisher {
 		outs = append(outs, m.tell(now, &peerv1.ListDelta{})...)
 	}
 	return outs
@@ -252,7 +252,7 @@
 	return outs
 }
 
-// take applies a change that the teller told of.
+// take applies a change that the publisher told of.
 func (m *Machine) take(now time.Time, delta *peerv1.ListDelta) []control.Output {
 	if m.reader {
 		return nil
--- a/internal/control/listing/listing_test.go
+++ b/internal/control/listing/listing_test.go
@@ -149,7 +149,7 @@
 	r.agree(t)
 }
 
-// TestReaderThatDiesIsReplaced kills hosts until the tellers have changed.
+// TestReaderThatDiesIsReplaced kills hosts until the publishers have changed.
 func TestReaderThatDiesIsReplaced(t *testing.T) {
 	r := newRegion(60)
 	r.run(5 * time.Second)
--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -38,7 +38,7 @@
 	// that no other request of the last crash equals; tieLosses is the number
 	// after which it is held back in any case.
 	holdLosses = 2
-	tieLosses   = 4
+	tieLosses  = 4
 )
 
 // Hold is the log entry of a request that is held back. Holds are short, so
--- a/internal/control/upstreams/credits.go
+++ b/internal/control/upstreams/credits.go
@@ -66,7 +66,7 @@
 }
 
 // nearlyDue reports whether a want may go along with another one to the same
-// keeper, so that they share a call now and later.
+// coordinator, so that they share a call now and later.
 func (m *Machine) nearlyDue(now time.Time, e *entry) bool {
 	return m.needs(e) && now.Sub(e.holder.LastSent()) >= m.pace().want/2
 }
@@ -88,9 +88,9 @@
 	return limit, until
 }
 
-// ask sends a want to the keeper of an upstream.
+// ask sends a want to the coordinator of an upstream.
 func (m *Machine) ask(now time.Time, e *entry) []control.Output {
-	if !e.holder.Ask(now, e.keeper) {
+	if !e.holder.Ask(now, e.coordinator) {
 		return nil
 	}
 	m.changed = true
@@ -100,7 +100,7 @@
 	})
 	evidence := e.evidence
 	e.evidence = slowstart.Evidence{}
-	if e.keeper == m.self.ID {
+	if e.coordinator == m.self.ID {
 		e.pool.Take(now, want)
 		return m.watch(now, e, func() { e.ramp.Observe(now, evidence) }, m.self.ID)
 	}
@@ -111,7 +111,7 @@
 		Good:    int32(evidence.Good), Slow: int32(evidence.Slow), Failed: int32(evidence.Failed),
 	}
 	return []control.Output{control.Tell{
-		To: e.keeper, Message: &peerv1.Message{Body: &peerv1.Message_Want{Want: message}},
+		To: e.coordinator, Message: &peerv1.Message{Body: &peerv1.Message_Want{Want: message}},
 	}}
 }
 
@@ -156,7 +156,7 @@
 	return total / places
 }
 
-// wanted answers a want as the keeper.
+// wanted answers a want as the coordinator.
 func (m *Machine) wanted(now time.Time, from string, w *peerv1.CreditWant) []control.Output {
 	e := m.entries[w.GetUpstream()]
 	if e == nil || e.pool == nil {
--- a/internal/control/upstreams/health.go
+++ b/internal/control/upstreams/health.go
@@ -128,7 +128,7 @@
 }
 
 // suspect cuts this host's use of an upstream to its part of the cold limit, or
-// one request, once bad attempts outweigh good ones, until the keeper has heard
+// one request, once bad attempts outweigh good ones, until the coordinator has heard
 // of them.
 func (m *Machine) suspect(e *entry) {
 	bad := e.evidence.Slow + e.evidence.Failed
--- a/internal/control/upstreams/topology.go
+++ b/internal/control/upstreams/topology.go
@@ -25,10 +25,10 @@
 	// retired tells that the upstream's host is to be stopped.
 	retired bool
 	traits  slowstart.Traits
-	// members is the number of hosts that may send here; keeper is the one
-	// that this host takes for the upstream's keeper.
-	members int
-	keeper  string
+	// members is the number of hosts that may send here; coordinator is the one
+	// that this host takes for the upstream's coordinator.
+	members     int
+	coordinator string
 	// guest tells that this host owns no share and asks only while it has
 	// requests for the upstream; used is when it last had one.
 	guest bool
@@ -39,14 +39,14 @@
 	evidence slowstart.Evidence
 	breaker  breaker
 	// suspect tells that this host's own attempts went badly and that the
-	// keeper has not answered since.
+	// coordinator has not answered since.
 	suspect bool
 	// cold, load and report come with grants.
 	cold   bool
 	load   float64
 	report uint64
 
-	// The rest is in use while this host is the keeper.
+	// The rest is in use while this host is the coordinator.
 	pool     *credit.Pool
 	ramp     *slowstart.Ramp
 	cache    prefix.Set
@@ -100,7 +100,7 @@
 			}
 		}
 	}
-	m.keepers = make([]map[string]string, len(m.cells))
+	m.coordinators = make([]map[string]string, len(m.cells))
 	m.inCell = inCell
 	kept := map[string]*entry{}
 	for _, p := range near {
@@ -214,16 +214,16 @@
 	e.guest = guest
 	m.describe(now, e, p.host, m.document.Service(p.host.Service))
 	e.members = len(cell)
-	m.keep(now, e, m.keepersOf(p.cell)[p.host.ID])
+	m.keep(now, e, m.coordinatorsOf(p.cell)[p.host.ID])
 	return e
 }
 
-// keepersOf returns the keepers of a cell's upstreams.
-func (m *Machine) keepersOf(cell int) map[string]string {
-	if m.keepers[cell] == nil {
-		m.keepers[cell] = subset.Keepers(m.inCell[cell], m.cells[cell], func(id string) bool { return m.live[id] })
+// coordinatorsOf returns the coordinators of a cell's upstreams.
+func (m *Machine) coordinatorsOf(cell int) map[string]string {
+	if m.coordinators[cell] == nil {
+		m.coordinators[cell] = subset.Coordinators(m.inCell[cell], m.cells[cell], func(id string) bool { return m.live[id] })
 	}
-	return m.keepers[cell]
+	return m.coordinators[cell]
 }
 
 const (
@@ -299,13 +299,13 @@
 	e.zoneIn = zoneIn
 }
 
-// keep takes an upstream over or leaves it to another keeper.
-func (m *Machine) keep(now time.Time, e *entry, keeper string) {
-	if keeper == "" {
-		keeper = m.self.ID
+// keep takes an upstream over or leaves it to another coordinator.
+func (m *Machine) keep(now time.Time, e *entry, coordinator string) {
+	if coordinator == "" {
+		coordinator = m.self.ID
 	}
-	e.keeper = keeper
-	if keeper != m.self.ID || e.guest {
+	e.coordinator = coordinator
+	if coordinator != m.self.ID || e.guest {
 		e.pool, e.ramp, e.prefixes = nil, nil, nil
 		e.cache.Clear()
 		return
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -36,10 +36,10 @@
 	cells        [][]subset.Member
 	places       map[string][]place
 	serviceHosts map[string][]string
-	// inCell lists the upstreams of each cell; keepers holds those cells'
-	// keepers that were asked for.
-	inCell  [][]string
-	keepers []map[string]string
+	// inCell lists the upstreams of each cell; coordinators holds those cells'
+	// coordinators that were asked for.
+	inCell       [][]string
+	coordinators []map[string]string
 	// owned is the number of upstreams of which this host owns shares.
 	owned int
 	// waiting counts the waiting requests at this host by service and version,
@@ -196,12 +196,12 @@
 	due := map[string]bool{}
 	for _, e := range m.ordered {
 		if m.due(now, e) {
-			due[e.keeper] = true
+			due[e.coordinator] = true
 		}
 	}
 	var outs []control.Output
 	for _, e := range m.ordered {
-		if due[e.keeper] && (m.due(now, e) || m.nearlyDue(now, e)) {
+		if due[e.coordinator] && (m.due(now, e) || m.nearlyDue(now, e)) {
 			outs = append(outs, m.ask(now, e)...)
 		}
 		if e.pool != nil && e.kind == document.KindEngine && now.Sub(e.polled) >= m.pace().poll {
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -54,7 +54,7 @@
 	return t
 }
 
-// name gives keepers an identity as holders see it.
+// name gives coordinators an identity as holders see it.
 func name(i int) string { return fmt.Sprint("h", i) }
 
 func (t *trial) send(from, to int, do func()) {
@@ -68,8 +68,8 @@
 	t.messages = append(t.messages, message{t.now.Add(delay), to, do})
 }
 
-// keeper returns the host that a host takes for the keeper: the first in its view.
-func (t *trial) keeper(host int) int {
+// coordinator returns the host that a host takes for the coordinator: the first in its view.
+func (t *trial) coordinator(host int) int {
 	for i := range hosts {
 		if t.view[i] == t.view[host] {
 			return i
@@ -79,33 +79,33 @@
 }
 
 func (t *trial) ask(i int) {
-	keeper := t.keeper(i)
-	if keeper != i {
+	coordinator := t.coordinator(i)
+	if coordinator != i {
 		t.pools[i] = nil
 	}
-	if !t.holders[i].Ask(t.now, name(keeper)) {
+	if !t.holders[i].Ask(t.now, name(coordinator)) {
 		return
 	}
 	want := t.holders[i].Sent(t.now, Want{
 		Host: name(i), Members: hosts, Wanted: len(t.running[i]) + 2, InFlight: len(t.running[i]),
 	})
-	t.send(i, keeper, func() { t.answer(keeper, i, want) })
+	t.send(i, coordinator, func() { t.answer(coordinator, i, want) })
 }
 
-func (t *trial) answer(keeper, host int, want Want) {
-	if t.keeper(keeper) != keeper {
+func (t *trial) answer(coordinator, host int, want Want) {
+	if t.coordinator(coordinator) != coordinator {
 		return
 	}
-	if t.pools[keeper] == nil {
-		t.pools[keeper] = NewPool("u", t.now, lease, true)
+	if t.pools[coordinator] == nil {
+		t.pools[coordinator] = NewPool("u", t.now, lease, true)
 	}
-	pool := t.pools[keeper]
+	pool := t.pools[coordinator]
 	if back := len(t.history) - int(reportLag/step); back >= 0 {
 		pool.Report(t.now.Add(-reportLag), t.history[back])
 	}
 	pool.Take(t.now, want)
 	grant := pool.Answer(t.now, name(host), t.level)
-	t.send(keeper, host, func() { t.holders[host].Granted(t.now, name(keeper), grant, t.level) })
+	t.send(coordinator, host, func() { t.holders[host].Granted(t.now, name(coordinator), grant, t.level) })
 }
 
 func (t *trial) total() int {
@@ -211,7 +211,7 @@
 	require.Equal(t, 2, most)
 }
 
-func TestHolderWithoutKeeperUsesItsOwnShareAfterBothLeases(t *testing.T) {
+func TestHolderWithoutCoordinatorUsesItsOwnShareAfterBothLeases(t *testing.T) {
 	now := time.Unix(1000, 0)
 	h := NewHolder(lease)
 	require.True(t, h.Ask(now, "a"))
@@ -283,7 +283,7 @@
 	pool.Take(now, want)
 	require.Zero(t, pool.Answer(now, "h", 16).Amount, "no report yet")
 	pool.Report(now, 0)
-	require.Zero(t, pool.Answer(now.Add(-time.Millisecond), "h", 16).Amount, "grants of the last keeper")
+	require.Zero(t, pool.Answer(now.Add(-time.Millisecond), "h", 16).Amount, "grants of the last coordinator")
 	require.Equal(t, 8, pool.Answer(now, "h", 16).Amount)
 	pool.Report(now, 13)
 	pool.Take(now, want)
--- a/internal/credit/holder.go
+++ b/internal/credit/holder.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// levelMemory is how long a holder trusts the level that a keeper named.
+// levelMemory is how long a holder trusts the level that a coordinator named.
 const levelMemory = 10 * time.Second
 
 // Holder is what one host may send to one upstream.
 type Holder struct {
-	lease  time.Duration
-	keeper string
-	// heard is when the newest grant of the keeper came; epoch is its Epoch.
+	lease       time.Duration
+	coordinator string
+	// heard is when the newest grant of the coordinator came; epoch is its Epoch.
 	heard time.Time
 	epoch int64
 	// amount may be used until until.
@@ -27,23 +27,23 @@
 // grants for a lease.
 func NewHolder(lease time.Duration) Holder { return Holder{lease: lease} }
 
-// Ask reports whether the host may send a want to a keeper now; if so it turns
-// to that keeper. The host waits until its share is its own again before it
+// Ask reports whether the host may send a want to a coordinator now; if so it turns
+// to that coordinator. The host waits until its share is its own again before it
 // turns to another one.
-func (h *Holder) Ask(now time.Time, keeper string) bool {
-	if keeper == h.keeper {
+func (h *Holder) Ask(now time.Time, coordinator string) bool {
+	if coordinator == h.coordinator {
 		return true
 	}
 	if now.Before(h.lentUntil) {
 		return false
 	}
-	h.keeper = keeper
+	h.coordinator = coordinator
 	h.epoch = 0
 	h.heard = time.Time{}
 	return true
 }
 
-// Sent returns the want to send now and counts the share as lent if the keeper
+// Sent returns the want to send now and counts the share as lent if the coordinator
 // will count it.
 func (h *Holder) Sent(now time.Time, w Want) Want {
 	w.Sent = now.UnixMilli()
@@ -59,12 +59,12 @@
 // LastSent returns the time of the last want.
 func (h *Holder) LastSent() time.Time { return h.sent }
 
-// Keeper returns the keeper to which the host turned last.
-func (h *Holder) Keeper() string { return h.keeper }
+// Coordinator returns the coordinator to which the host turned last.
+func (h *Holder) Coordinator() string { return h.coordinator }
 
 // Granted takes a grant and reports whether it is news.
 func (h *Holder) Granted(now time.Time, from string, g Grant, level int) bool {
-	if from != h.keeper || g.Epoch <= h.epoch {
+	if from != h.coordinator || g.Epoch <= h.epoch {
 		return false
 	}
 	h.epoch, h.heard = g.Epoch, now
@@ -74,7 +74,7 @@
 	return true
 }
 
-// Level returns the level that a keeper named lately, or 0.
+// Level returns the level that a coordinator named lately, or 0.
 func (h *Holder) Level(now time.Time) int {
 	if h.levelAt.IsZero() || now.Sub(h.levelAt) >= levelMemory {
 		return 0
--- a/internal/credit/pool.go
+++ b/internal/credit/pool.go
@@ -1,12 +1,12 @@
 // Package credit keeps the limit of an upstream over all entry hosts together.
 //
 // Each of the n hosts that may send to an upstream owns 1/n of its limit and
-// lends this share to the one host that it takes for the upstream's keeper.
-// The keeper pools the shares lent to it and grants whole requests out of
-// them. A host lends to one keeper at a time, so that the pools of all hosts
-// that take themselves for the keeper never exceed the limit together.
+// lends this share to the one host that it takes for the upstream's coordinator.
+// The coordinator pools the shares lent to it and grants whole requests out of
+// them. A host lends to one coordinator at a time, so that the pools of all hosts
+// that take themselves for the coordinator never exceed the limit together.
 //
-// Shares are lent, and grants used, for the lease that each want names. Both are measured without common clocks: the keeper counts a share
+// Shares are lent, and grants used, for the lease that each want names. Both are measured without common clocks: the coordinator counts a share
 // from the sending time of the grant that the lender echoes, and a holder
 // counts a grant from the sending time of the want that it answers.
 //
@@ -21,7 +21,7 @@
 )
 
 const (
-	// memoryLeases is how long, in leases, a keeper counts the requests of a
+	// memoryLeases is how long, in leases, a coordinator counts the requests of a
 	// host that it hears nothing of.
 	memoryLeases = 2.5
 	// tellLeases is the age, in leases, up to which the word of a member on its
@@ -39,7 +39,7 @@
 	roundingSlack = 1e-9
 )
 
-// Want asks a keeper for a grant.
+// Want asks a coordinator for a grant.
 type Want struct {
 	Host string
 	// Members is the number of hosts that own shares, as the sender knows it; 0
@@ -59,13 +59,13 @@
 // Grant allows a number of requests in flight.
 type Grant struct {
 	Amount int
-	// Epoch is the keeper's clock, in milliseconds.
+	// Epoch is the coordinator's clock, in milliseconds.
 	Epoch int64
 	// Answers is the Sent of the want.
 	Answers int64
 }
 
-// Pool is what the keeper of one upstream has lent and granted.
+// Pool is what the coordinator of one upstream has lent and granted.
 type Pool struct {
 	upstream string
 	since    time.Time
@@ -133,7 +133,7 @@
 func (p *Pool) leases(n float64) time.Duration { return time.Duration(n * float64(p.longest)) }
 
 // ready reports whether all that may run at the upstream is known: the grants
-// of the last keeper have ended and a load report shows what they started.
+// of the last coordinator have ended and a load report shows what they started.
 func (p *Pool) ready(now time.Time) bool {
 	return p.reported && now.Sub(p.since) >= p.longest
 }
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -42,7 +42,7 @@
 	measureInterval = 10 * time.Millisecond
 	// needRise and needFall are the times in which the estimate of the slots
 	// that a class needs follows a rise and a fall; recentTime is that of the
-	// estimate that goes to keepers.
+	// estimate that goes to coordinators.
 	needRise   = 2 * time.Second
 	needFall   = 30 * time.Second
 	recentTime = 3 * time.Second
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -75,7 +75,7 @@
 }
 
 // New returns the ramp of an upstream that was first seen at a time. A level
-// above 0 is what another keeper believed of it lately.
+// above 0 is what another coordinator believed of it lately.
 func New(now time.Time, traits Traits, level int) *Ramp {
 	traits.Cold = max(1, traits.Cold)
 	traits.Warm = max(traits.Cold, traits.Warm)
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -112,7 +112,7 @@
 	require.Less(t, raise(t, r, now).Sub(now), 6*time.Second)
 }
 
-func TestTakesOverWhatAnotherKeeperBelieved(t *testing.T) {
+func TestTakesOverWhatAnotherCoordinatorBelieved(t *testing.T) {
 	require.Equal(t, 8, New(start, traits, 8).Level(start))
 	require.Equal(t, 16, New(start, traits, 99).Level(start))
 	r := New(start, traits, 0)
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -78,33 +78,33 @@
 	return rank * cells / upstreams
 }
 
-// keeperSlack is the factor by which a host may keep more upstreams than the mean.
-const keeperSlack = 1.1
+// coordinatorSlack is the factor by which a host may keep more upstreams than the mean.
+const coordinatorSlack = 1.1
 
-// Keepers returns which member of a cell keeps each of its upstreams, among
+// Coordinators returns which member of a cell keeps each of its upstreams, among
 // those members that a test accepts: the first by rendezvous hashing that does
 // not keep its part already. There is no entry where no member is accepted.
-func Keepers(upstreams []string, cell []Member, accept func(id string) bool) map[string]string {
+func Coordinators(upstreams []string, cell []Member, accept func(id string) bool) map[string]string {
 	var live []string
 	for _, m := range cell {
 		if accept(m.ID) {
 			live = append(live, m.ID)
 		}
 	}
-	keepers := make(map[string]string, len(upstreams))
+	coordinators := make(map[string]string, len(upstreams))
 	if len(live) == 0 {
-		return keepers
+		return coordinators
 	}
-	most := int(math.Ceil(keeperSlack * float64(len(upstreams)) / float64(len(live))))
+	most := int(math.Ceil(coordinatorSlack * float64(len(upstreams)) / float64(len(live))))
 	ordered := append([]string(nil), upstreams...)
 	sort.Slice(ordered, func(i, j int) bool { return before(ordered[i], ordered[j]) })
 	kept := map[string]int{}
 	for _, upstream := range ordered {
-		keeper := first(upstream, live, func(id string) bool { return kept[id] < most })
-		keepers[upstream] = keeper
-		kept[keeper]++
+		coordinator := first(upstream, live, func(id string) bool { return kept[id] < most })
+		coordinators[upstream] = coordinator
+		kept[coordinator]++
 	}
-	return keepers
+	return coordinators
 }
 
 // first returns the first host for an upstream by rendezvous hashing.
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -64,20 +64,20 @@
 	require.Less(t, moved, 45)
 }
 
-func TestKeepersBalanceAndMostlyStay(t *testing.T) {
+func TestCoordinatorsBalanceAndMostlyStay(t *testing.T) {
 	cell := members(9, 3)
 	var upstreams []string
 	for i := range 26 {
 		upstreams = append(upstreams, fmt.Sprint("u", i))
 	}
-	all := Keepers(upstreams, cell, func(string) bool { return true })
+	all := Coordinators(upstreams, cell, func(string) bool { return true })
 	kept := map[string]int{}
 	for _, upstream := range upstreams {
 		kept[all[upstream]]++
 	}
 	for _, m := range cell {
 		require.LessOrEqual(t, kept[m.ID], 4)
-		fewer := Keepers(upstreams, cell, func(id string) bool { return id != m.ID })
+		fewer := Coordinators(upstreams, cell, func(id string) bool { return id != m.ID })
 		moved := 0
 		for _, upstream := range upstreams {
 			require.NotEqual(t, m.ID, fewer[upstream])
@@ -87,5 +87,5 @@
 		}
 		require.LessOrEqual(t, moved, 4)
 	}
-	require.Empty(t, Keepers(upstreams, cell, func(string) bool { return false }))
+	require.Empty(t, Coordinators(upstreams, cell, func(string) bool { return false }))
 }
