Hold no request back for upstreams that crash together

Ruled out: a race; none was reported. Crashes of several upstreams within a second that share no request now count for none, and a loss after the first token of an attempt weighs half, so that one loss before a token is needed.

--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -34,11 +34,19 @@
 	settleTime = 600 * time.Millisecond
 	// memory is how long a loss counts.
 	memory = 10 * time.Minute
-	// holdLosses is the number of crashes after which a request is held back
-	// that no other request of the last crash equals; tieLosses is the number
-	// after which it is held back in any case.
-	holdLosses = 2
-	tieLosses  = 4
+	// lostWeight is the weight of a loss before the first token of an attempt,
+	// interruptedWeight that of one after it: a request that runs for a while
+	// is less likely to be the cause.
+	lostWeight        = 2
+	interruptedWeight = 1
+	// holdWeight is the weight from which a request is held back that no other
+	// request of the last crash equals; tieWeight is the one from which it is
+	// held back in any case.
+	holdWeight = 3
+	tieWeight  = 7
+	// correlationWindow is the time within which crashes of several upstreams
+	// are taken for one event.
+	correlationWindow = time.Second
 )
 
 // Hold is the log entry of a request that is held back. Holds are short, so
@@ -52,8 +60,9 @@
 type crash struct {
 	service, upstream string
 	first, last       time.Time
-	lost              map[uint64]bool
-	evaluated         bool
+	// lost holds the weight of the loss of each request.
+	lost      map[uint64]int
+	evaluated bool
 }
 
 func init() { kernel.Register(&Machine{}) }
@@ -161,9 +170,13 @@
 	case in.Failure.Kind == upstream.Lost:
 		m.reported[in.Fingerprint] = now
 		m.losses[in.Upstream] = now
-		suspects.Lost = []uint64{in.Fingerprint}
+		if in.Tokens == 0 {
+			suspects.Lost = []uint64{in.Fingerprint}
+		} else {
+			suspects.Interrupted = []uint64{in.Fingerprint}
+		}
 	}
-	if !suspects.Alive && len(suspects.Answered)+len(suspects.Lost) == 0 {
+	if !suspects.Alive && len(suspects.Answered)+len(suspects.Lost)+len(suspects.Interrupted) == 0 {
 		return nil
 	}
 	m.take(now, suspects)
@@ -210,25 +223,16 @@
 			return c.upstream == id && now.Sub(c.last) <= crashWindow
 		})
 	}
-	if len(suspects.GetLost()) == 0 || m.leaving[id] || m.notices[id] {
+	if len(suspects.GetLost())+len(suspects.GetInterrupted()) == 0 || m.leaving[id] || m.notices[id] {
 		return
 	}
 	c := m.crashOf(now, suspects.GetService(), id)
 	for _, fingerprint := range suspects.GetLost() {
-		c.lost[fingerprint] = true
+		c.lost[fingerprint] = lostWeight
 	}
-}
-
-// evaluateDue evaluates the crashes whose losses are in.
-func (m *Machine) evaluateDue(now time.Time) []control.Output {
-	var outs []control.Output
-	for _, c := range m.crashes {
-		if !c.evaluated && now.Sub(c.first) >= settleTime {
-			c.evaluated = true
-			outs = append(outs, m.evaluate(now, c)...)
-		}
+	for _, fingerprint := range suspects.GetInterrupted() {
+		c.lost[fingerprint] = max(c.lost[fingerprint], interruptedWeight)
 	}
-	return outs
 }
 
 // crashOf returns the crash to which a loss at an upstream belongs.
@@ -239,34 +243,71 @@
 			return c
 		}
 	}
-	c := &crash{service: service, upstream: id, first: now, last: now, lost: map[uint64]bool{}}
+	c := &crash{service: service, upstream: id, first: now, last: now, lost: map[uint64]int{}}
 	m.crashes = append(m.crashes, c)
 	return c
 }
 
-// evaluate holds back the request of a crash that was lost most often, if it is
-// one alone or was lost very often.
-func (m *Machine) evaluate(now time.Time, c *crash) []control.Output {
-	losses := map[uint64]int{}
+// evaluateDue evaluates the crashes whose losses are in.
+func (m *Machine) evaluateDue(now time.Time) []control.Output {
+	var outs []control.Output
+	for _, c := range m.crashes {
+		if c.evaluated || now.Sub(c.first) < settleTime {
+			continue
+		}
+		c.evaluated = true
+		if m.correlated(c) {
+			clear(c.lost)
+			continue
+		}
+		outs = append(outs, m.evaluate(now, c)...)
+	}
+	return outs
+}
+
+// correlated reports whether another upstream of the service crashed at the
+// same time with other requests. Then a common cause is likelier than a request.
+func (m *Machine) correlated(c *crash) bool {
 	for _, other := range m.crashes {
-		for fingerprint := range c.lost {
-			if other.lost[fingerprint] {
-				losses[fingerprint]++
-			}
+		apart := other.first.Sub(c.first).Abs()
+		if other == c || other.service != c.service || other.upstream == c.upstream || apart > correlationWindow {
+			continue
+		}
+		if !shareRequest(c, other) {
+			return true
+		}
+	}
+	return false
+}
+
+func shareRequest(a, b *crash) bool {
+	for fingerprint := range a.lost {
+		if _, both := b.lost[fingerprint]; both {
+			return true
 		}
 	}
+	return false
+}
+
+// evaluate holds back the request of a crash whose losses weigh most, if it is
+// one alone or they weigh very much.
+func (m *Machine) evaluate(now time.Time, c *crash) []control.Output {
+	weights := map[uint64]int{}
 	most, equals := 0, 0
-	for _, n := range losses {
-		switch {
-		case n > most:
-			most, equals = n, 1
-		case n == most:
+	for fingerprint := range c.lost {
+		for _, other := range m.crashes {
+			weights[fingerprint] += other.lost[fingerprint]
+		}
+		switch weight := weights[fingerprint]; {
+		case weight > most:
+			most, equals = weight, 1
+		case weight == most:
 			equals++
 		}
 	}
 	var outs []control.Output
-	for fingerprint, n := range losses {
-		hold := n == most && ((n >= holdLosses && equals == 1) || n >= tieLosses)
+	for fingerprint, weight := range weights {
+		hold := weight == most && ((weight >= holdWeight && equals == 1) || weight >= tieWeight)
 		if hold && m.holds[fingerprint].Before(now) {
 			outs = append(outs, m.announce(now, fingerprint)...)
 		}
--- a/internal/control/poison/poison_test.go
+++ b/internal/control/poison/poison_test.go
@@ -100,6 +100,30 @@
 	require.Empty(t, b.held(), "the upstreams were reclaimed")
 }
 
+// TestUpstreamsThatRestartTogetherBlameNoRequest loses a request with one
+// upstream, and again when all upstreams restart at once.
+func TestUpstreamsThatRestartTogetherBlameNoRequest(t *testing.T) {
+	b := newBench()
+	b.crash("u1", 1)
+	for i := range 5 {
+		b.attempt(fmt.Sprintf("u%d", i+2), uint64(i+1), b.now.Add(-time.Second), &upstream.Failure{Kind: upstream.Lost})
+	}
+	b.wait()
+	require.Empty(t, b.held())
+}
+
+// TestInterruptedStreamIsNotHeldForTwoLosses loses a stream twice after tokens.
+func TestInterruptedStreamIsNotHeldForTwoLosses(t *testing.T) {
+	b := newBench()
+	for _, id := range []string{"u1", "u2"} {
+		b.machine.Step(b.now, control.AttemptEnded{
+			Upstream: id, Service: "s", Fingerprint: 1, Tokens: 20, Failure: &upstream.Failure{Kind: upstream.Lost},
+		})
+		b.wait()
+	}
+	require.Empty(t, b.held())
+}
+
 func TestAnswerClears(t *testing.T) {
 	b := newBench()
 	b.crash("u1", 1)
