Run requests that may wait elsewhere when their host dies without notice

Cause: an entry host that was killed lost its accepted drafts and dossiers, which may wait but must never vanish.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,11 +67,19 @@
 	Ended  func(RequestEnded)
 	Router route.Router
 	Claims claim.Claims
+	// Copier takes the requests that may wait; nil makes no copies.
+	Copier Copier
 	Relay  Relay
 	Dialer dial.Dialer
 	Events *event.Logger
 }
 
+// Copier copies accepted requests to another host, in case this one dies.
+type Copier interface {
+	// Copy reports whether another host has the copy.
+	Copy(ctx context.Context, req *request.Request) bool
+}
+
 // Dispatcher runs the accepted requests of one host.
 type Dispatcher struct {
 	opts Options
@@ -99,6 +107,8 @@
 	// HandedOver counts requests that went to another host, Adopted those that
 	// came from one.
 	HandedOver, Adopted atomic.Int64
+	// Copied counts accepted requests of which another host has a copy.
+	Copied atomic.Int64
 }
 
 // Call is an accepted request on this host.
@@ -186,11 +196,22 @@
 		return nil, err
 	}
 	d.counters.Accepted.Add(1)
+	d.copy(call)
 	d.budgets.accepted(call.Request.Service, time.Now())
 	d.start(call)
 	return call, nil
 }
 
+// copy gives another host a copy of a request that may wait.
+func (d *Dispatcher) copy(call *Call) {
+	if d.opts.Copier == nil || call.route.Class != document.ClassBatch || !call.route.Idempotent {
+		return
+	}
+	if d.opts.Copier.Copy(call.ctx, call.Request) {
+		d.counters.Copied.Add(1)
+	}
+}
+
 func (d *Dispatcher) accept(sub Submission) (*Call, error) {
 	if d.closed.Load() {
 		return nil, refuse(request.ReasonLeaving, retrySoon, "this host is leaving")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/platform/weightstore"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
+	"github.com/marigoldmux/marigoldmux/internal/standby"
 	"github.com/marigoldmux/marigoldmux/internal/survey"
 	"github.com/marigoldmux/marigoldmux/internal/ticket"
 	"github.com/marigoldmux/marigoldmux/internal/tlsfiles"
@@ -93,6 +94,7 @@
 	app        *kernel.App
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
+	standby    *standby.Standby
 	mover      *handoff.Mover
 	recorder   *burn.Recorder
 	claims     *claim.Store
@@ -127,6 +129,7 @@
 	h.claims = claim.NewStore(claim.Options{
 		Self: self, Snapshot: h.loop.Snapshot, Log: deps.Platform.Log, Peers: once, Tickets: tickets,
 	})
+	h.standby = &standby.Standby{Snapshot: h.loop.Snapshot, Dialer: deps.Dialer}
 	h.dispatcher = dispatch.New(dispatch.Options{
 		Self:     self,
 		Snapshot: h.loop.Snapshot,
@@ -135,9 +138,11 @@
 		Router:   route.NewBalancer(h.loop.Snapshot, h.loop.Offer, deps.Seed),
 		Claims:   h.claims,
 		Relay:    once,
+		Copier:   h.standby,
 		Dialer:   deps.Dialer,
 		Events:   h.deps.Events,
 	})
+	h.standby.Adopt = h.dispatcher.Adopt
 	if err := h.prepare(); err != nil {
 		return nil, err
 	}
@@ -151,6 +156,7 @@
 	kernel.Provide(ctx, h.dispatcher)
 	kernel.Provide(ctx, h.recorder)
 	kernel.Provide(ctx, h.claims)
+	kernel.Provide(ctx, h.standby)
 	kernel.Provide(ctx, h.deps.Dialer)
 	kernel.Provide(ctx, h.deps.Platform.Log)
 	kernel.Provide[entry.Follower](ctx, &peer.Follower{
@@ -211,6 +217,7 @@
 		h.goes(func() { io.readStream(stream) })
 	}
 	h.goes(func() { h.claims.Run(ctx) })
+	h.goes(func() { h.standby.Run(ctx) })
 	h.goes(func() { h.handOverOnNotice(ctx) })
 	if err := h.app.Start(ctx); err != nil {
 		cancel()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,10 @@
 	NotRun           int64 `json:"notRun"`
 	Unknown          int64 `json:"unknown"`
 	Retried          int64 `json:"retried"`
+	Moved            int64 `json:"moved"`
+	HandedOver       int64 `json:"handedOver"`
+	Adopted          int64 `json:"adopted"`
+	Copied           int64 `json:"copied"`
 	Tokens           int64 `json:"tokens"`
 	RecomputedTokens int64 `json:"recomputedTokens"`
 	Crossed          int64 `json:"crossed"`
@@ -105,6 +109,8 @@
 		Accepted: counters.Accepted.Load(), Refused: counters.Refused.Load(),
 		Answered: counters.Answered.Load(), NotRun: counters.NotRun.Load(), Unknown: counters.Unknown.Load(),
 		Retried: counters.Retried.Load(), Tokens: counters.Tokens.Load(),
+		Moved: counters.Moved.Load(), HandedOver: counters.HandedOver.Load(),
+		Adopted: counters.Adopted.Load(), Copied: counters.Copied.Load(),
 		RecomputedTokens: counters.Recomputed.Load(), Crossed: counters.Crossed.Load(),
 		Active: m.dispatcher.Active(), ControlDropped: m.loop.Dropped(),
 		ControlAgeMs: now.Sub(snapshot.At).Milliseconds(),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/handoff"
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/peerauth"
+	"github.com/marigoldmux/marigoldmux/internal/standby"
 	"github.com/marigoldmux/marigoldmux/internal/stream"
 	"github.com/marigoldmux/marigoldmux/internal/survey"
 )
@@ -40,6 +41,7 @@
 	surveyor   *survey.Surveyor
 	guard      *peerauth.Guard
 	claims     *claim.Store
+	standby    *standby.Standby
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
@@ -63,6 +65,9 @@
 	if s.claims, err = kernel.Lookup[*claim.Store](ctx); err != nil {
 		return err
 	}
+	if s.standby, err = kernel.Lookup[*standby.Standby](ctx); err != nil {
+		return err
+	}
 	certificates := ctx.Settings.TLS != nil && ctx.Settings.TLS.PeerCAFile != ""
 	s.guard = peerauth.New(ctx.Settings.Secret, certificates, ctx.Events)
 	kernel.Provide[peerv1connect.PeerServiceHandler](ctx, s)
@@ -144,5 +149,6 @@
 // Keep implements peerv1connect.PeerServiceHandler.
 func (s *Server) Keep(_ context.Context, req *peerv1.KeepRequest) (*peerv1.KeepResponse, error) {
 	s.keepEnded(req)
+	s.standby.Take(req)
 	return &peerv1.KeepResponse{}, nil
 }
--- a/internal/survive/leave_test.go
+++ b/internal/survive/leave_test.go
@@ -30,11 +30,19 @@
 	})
 }
 
+// draftTokens is the length of the answers to the requests of submit.
+const draftTokens = 400
+
+// draft returns the prompt of a request of submit.
+func draft(i int) string {
+	return fmt.Sprintf("draft %d of a long menu for a summer wedding with forty guests", i)
+}
+
 // submit sends requests that may wait and returns their IDs.
 func submit(t *testing.T, n *testbed.Node, count int) []string {
 	ids := make([]string, count)
 	for i := range ids {
-		body := fmt.Sprintf(`{"prompt": "draft %d of a long menu for a summer wedding with forty guests", "maxTokens": 400}`, i)
+		body := fmt.Sprintf(`{"prompt": %q, "maxTokens": %d}`, draft(i), draftTokens)
 		answer := n.Do(context.Background(), http.MethodPost, "/v1/services/advice/routes/draft", body,
 			map[string]string{"X-Customer": "web-chat", "Prefer": "respond-async"})
 		require.Equal(t, http.StatusAccepted, answer.Code, answer.Body)
