--- a/internal/control/membership/gossip.go
+++ b/internal/control/membership/gossip.go
@@ -14,7 +14,7 @@
 	if m.greet(to) {
 		gossip.Hosts = append(gossip.Hosts, m.digest(to)...)
 	}
-	for _, id := range m.rumours.take(to) {
+	for _, id := range m.updates.take(to) {
 		if peer := m.peers[id]; peer != nil {
 			fresh := !peer.listed || now.Sub(peer.joined) < introduction
 			gossip.Hosts = append(gossip.Hosts, peer.state(fresh))
@@ -30,24 +30,24 @@
 // greet reports whether a host's incarnation is met for the first time.
 func (m *Machine) greet(to string) bool {
 	peer := m.peers[to]
-	if peer == nil || peer.host.Incarnation == "" || m.greeted[to] == peer.host.Incarnation {
+	if peer == nil || peer.host.Incarnation == "" || m.introduced[to] == peer.host.Incarnation {
 		return false
 	}
-	m.greeted[to] = peer.host.Incarnation
+	m.introduced[to] = peer.host.Incarnation
 	return true
 }
 
 // digest lists what a newcomer cannot know from the host list: who is suspect,
 // dead or leaving.
 func (m *Machine) digest(to string) []*peerv1.HostState {
-	var words []*peerv1.HostState
+	var states []*peerv1.HostState
 	for _, id := range sortedKeys(m.peers) {
 		peer := m.peers[id]
 		if id != to && (gravity(peer.status) > 0 || peer.host.Leaving) {
-			words = append(words, peer.state(false))
+			states = append(states, peer.state(false))
 		}
 	}
-	return words
+	return states
 }
 
 // heard takes a message; whatever it says, its sender is alive.
@@ -58,8 +58,8 @@
 		return outs
 	}
 	gossip := body.Gossip
-	for _, word := range gossip.GetHosts() {
-		m.takeWord(now, word)
+	for _, update := range gossip.GetHosts() {
+		m.takeUpdate(now, update)
 	}
 	if peer := m.peers[in.From]; peer != nil && gravity(peer.status) > 0 {
 		// The sender does not know yet that it is suspected.
@@ -75,81 +75,81 @@
 	return outs
 }
 
-// takeWord weighs what another host says about a host.
-func (m *Machine) takeWord(now time.Time, word *peerv1.HostState) {
-	if word.GetId() == m.self.ID {
-		m.refute(word)
+// takeUpdate weighs what another host says about a host.
+func (m *Machine) takeUpdate(now time.Time, update *peerv1.HostState) {
+	if update.GetId() == m.self.ID {
+		m.refute(update)
 		return
 	}
-	peer := m.peers[word.GetId()]
+	peer := m.peers[update.GetId()]
 	if peer == nil {
-		m.meet(now, word)
+		m.meet(now, update)
 		return
 	}
-	if !supersedes(word, peer) {
-		m.takeOffset(word, peer)
+	if !supersedes(update, peer) {
+		m.takeOffset(update, peer)
 		return
 	}
-	m.adopt(now, word, peer)
+	m.adopt(now, update, peer)
 }
 
-// refute answers a word that this host is not what it is.
-func (m *Machine) refute(word *peerv1.HostState) {
-	stale := word.GetIncarnation() != m.self.Incarnation || gravity(word.GetStatus()) > 0
-	if stale && word.GetCounter() >= m.own.counter {
-		m.own.counter = word.GetCounter() + 1
-		m.rumours.add(m.self.ID)
+// refute answers a update that this host is not what it is.
+func (m *Machine) refute(update *peerv1.HostState) {
+	stale := update.GetIncarnation() != m.self.Incarnation || gravity(update.GetStatus()) > 0
+	if stale && update.GetCounter() >= m.own.counter {
+		m.own.counter = update.GetCounter() + 1
+		m.updates.add(m.self.ID)
 	}
 }
 
 // meet takes in a host that is not on the list yet.
-func (m *Machine) meet(now time.Time, word *peerv1.HostState) {
-	if word.GetAddress() == "" || word.GetRegion() != m.self.Region || gravity(word.GetStatus()) > 0 {
+func (m *Machine) meet(now time.Time, update *peerv1.HostState) {
+	if update.GetAddress() == "" || update.GetRegion() != m.self.Region || gravity(update.GetStatus()) > 0 {
 		return
 	}
 	peer := &member{joined: now, host: control.EntryHost{
-		ID: word.GetId(), Address: word.GetAddress(), Zone: word.GetAvailabilityZone(), Region: word.GetRegion(),
+		ID: update.GetId(), Address: update.GetAddress(), Zone: update.GetAvailabilityZone(), Region: update.GetRegion(),
 	}}
-	m.peers[word.GetId()] = peer
-	m.adopt(now, word, peer)
+	m.peers[update.GetId()] = peer
+	m.adopt(now, update, peer)
 }
 
-func (m *Machine) takeOffset(word *peerv1.HostState, peer *member) {
-	if word.GetCounter() == peer.counter && word.GetConfigOffset() > peer.configOffset {
-		peer.configOffset = word.GetConfigOffset()
+func (m *Machine) takeOffset(update *peerv1.HostState, peer *member) {
+	if update.GetCounter() == peer.counter && update.GetConfigOffset() > peer.configOffset {
+		peer.configOffset = update.GetConfigOffset()
 		m.inForce = nil
-		m.rumours.add(word.GetId())
+		m.updates.add(update.GetId())
 	}
 }
 
-// adopt takes a word that supersedes what was believed. Word of a death begins
+// adopt takes a update that supersedes what was believed. Word of a death begins
 // a suspicion, so that a host that lives has the time to refute.
-func (m *Machine) adopt(now time.Time, word *peerv1.HostState, peer *member) {
+func (m *Machine) adopt(now time.Time, update *peerv1.HostState, peer *member) {
 	wasLive, wasLeaving := peer.live(), peer.host.Leaving
-	id := word.GetId()
-	peer.counter = word.GetCounter()
-	peer.configOffset = max(peer.configOffset, word.GetConfigOffset())
-	if word.GetIncarnation() != "" && word.GetIncarnation() != peer.host.Incarnation {
+	id := update.GetId()
+	peer.counter = update.GetCounter()
+	peer.configOffset = max(peer.configOffset, update.GetConfigOffset())
+	if update.GetIncarnation() != "" && update.GetIncarnation() != peer.host.Incarnation {
 		m.changed = true
-		peer.host.Incarnation = word.GetIncarnation()
+		peer.host.Incarnation = update.GetIncarnation()
 		peer.host.Leaving = false
 		peer.joined = now
 	}
-	if word.GetAddress() != "" && word.GetAddress() != peer.host.Address {
-		peer.host.Address = word.GetAddress()
+	if update.GetAddress() != "" && update.GetAddress() != peer.host.Address {
+		peer.host.Address = update.GetAddress()
 		m.changed = true
 	}
-	if gravity(word.GetStatus()) > 0 {
+	if gravity(update.GetStatus()) > 0 {
 		m.adoptSuspicion(now, peer)
 	} else {
-		peer.status = word.GetStatus()
-		peer.host.Leaving = word.GetStatus() == peerv1.HostStatus_HOST_STATUS_LEAVING
+		peer.status = update.GetStatus()
+		peer.host.Leaving = update.GetStatus() == peerv1.HostStatus_HOST_STATUS_LEAVING
 	}
-	if gravity(word.GetStatus()) > 0 || wasLeaving != peer.host.Leaving {
+	if gravity(update.GetStatus()) > 0 || wasLeaving != peer.host.Leaving {
 		m.urgent = now.Add(urgency)
 	}
 	m.inForce = nil
-	m.rumours.add(id)
+	m.updates.add(id)
 	m.changed = m.changed || wasLive != peer.live() || wasLeaving != peer.host.Leaving
 }
 
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -23,7 +23,7 @@
 func init() { kernel.Register(&Machine{}) }
 
 const (
-	// introduction is how long words about a new incarnation carry its address.
+	// introduction is how long updates of a new incarnation carry its address.
 	introduction = time.Minute
 	// urgency is how long a change of status is passed on at the higher rate.
 	urgency = 2 * time.Second
@@ -40,11 +40,11 @@
 	// peers holds the other hosts of the region, remote those of others.
 	peers   map[string]*member
 	remote  map[string]control.EntryHost
-	rumours rumours
+	updates updates
 	probes  map[string]*probe
 	relays  map[string][]relay
-	// greeted holds the incarnation of each host that got a digest.
-	greeted map[string]string
+	// introduced holds the incarnation of each host that got a digest.
+	introduced map[string]string
 
 	turn, deadTurn, helperTurn []string
 	sequence, ticks            uint64
@@ -90,10 +90,10 @@
 	m.rand = rand.New(rand.NewPCG(xxhash.Sum64String(self.ID), xxhash.Sum64String(self.Incarnation)))
 	m.peers = map[string]*member{}
 	m.remote = map[string]control.EntryHost{}
-	m.rumours = rumours{}
+	m.updates = updates{}
 	m.probes = map[string]*probe{}
 	m.relays = map[string][]relay{}
-	m.greeted = map[string]string{}
+	m.introduced = map[string]string{}
 	m.reclaims = map[string]time.Time{}
 	m.changed = true
 	m.hosts = map[string]control.EntryHost{self.ID: m.own.host}
@@ -116,7 +116,7 @@
 		m.document = in.Document
 		m.own.configOffset = in.Offset
 		m.inForce = nil
-		m.rumours.add(m.self.ID)
+		m.updates.add(m.self.ID)
 		m.takeList(now)
 	case control.Heard:
 		outs = m.heard(now, in)
@@ -170,7 +170,7 @@
 	m.own.counter++
 	m.own.status = peerv1.HostStatus_HOST_STATUS_LEAVING
 	m.own.host.Leaving = true
-	m.rumours.add(m.self.ID)
+	m.updates.add(m.self.ID)
 	m.changed = true
 }
 
--- a/internal/control/membership/probe.go
+++ b/internal/control/membership/probe.go
@@ -130,7 +130,7 @@
 	peer.status = peerv1.HostStatus_HOST_STATUS_SUSPECT
 	peer.suspected = now
 	m.urgent = now.Add(urgency)
-	m.rumours.add(id)
+	m.updates.add(id)
 }
 
 // isolated reports whether the fault is more likely this host's own: it hears
@@ -151,7 +151,7 @@
 				continue
 			}
 			peer.status = peerv1.HostStatus_HOST_STATUS_DEAD
-			m.rumours.add(id)
+			m.updates.add(id)
 			m.changed = true
 		case !peer.live() && !peer.listed && now.Sub(peer.suspected) >= deadRetention:
 			delete(m.peers, id)
--- a/internal/control/membership/rumours.go
+++ b/internal/control/membership/updates.go
@@ -3,22 +3,22 @@
 import "sort"
 
 const (
-	// maxRumours bounds the words about other hosts in one message.
-	maxRumours = 6
-	// maxSends is how often this host passes one word on.
+	// maxUpdates bounds the updates of other hosts in one message.
+	maxUpdates = 6
+	// maxSends is how often this host passes one update on.
 	maxSends = 6
 )
 
-// rumours holds the changes that are still to be passed on, by host, with the
+// updates holds the changes that are still to be passed on, by host, with the
 // number of times that each was sent.
-type rumours map[string]int
+type updates map[string]int
 
-// add makes a change news again.
-func (r rumours) add(id string) { r[id] = 0 }
+// add makes a change due again.
+func (r updates) add(id string) { r[id] = 0 }
 
 // take returns the hosts whose changes go into the next message: those that
 // were sent least, then by ID.
-func (r rumours) take(exclude string) []string {
+func (r updates) take(exclude string) []string {
 	ids := make([]string, 0, len(r))
 	for id := range r {
 		if id != exclude {
@@ -31,7 +31,7 @@
 		}
 		return ids[i] < ids[j]
 	})
-	ids = ids[:min(maxRumours, len(ids))]
+	ids = ids[:min(maxUpdates, len(ids))]
 	for _, id := range ids {
 		if r[id]++; r[id] >= maxSends {
 			delete(r, id)
--- a/internal/credit/pool.go
+++ b/internal/credit/pool.go
@@ -6,9 +6,10 @@
 // them. A host lends to one coordinator at a time, so that the pools of all hosts
 // that take themselves for the coordinator never exceed the limit together.
 //
-// Shares are lent, and grants used, for the lease that each want names. Both are measured without common clocks: the coordinator counts a share
-// from the sending time of the grant that the lender echoes, and a holder
-// counts a grant from the sending time of the want that it answers.
+// Shares are lent, and grants used, for the lease that each want names. Both
+// are measured without common clocks: the coordinator counts a share from the
+// sending time of the grant that the lender echoes, and a holder counts a
+// grant from the sending time of the want that it answers.
 //
 // Nothing here does I/O or reads a clock.
 package credit
@@ -24,7 +25,7 @@
 	// memoryLeases is how long, in leases, a coordinator counts the requests of a
 	// host that it hears nothing of.
 	memoryLeases = 2.5
-	// tellLeases is the age, in leases, up to which the word of a member on its
+	// tellLeases is the age, in leases, up to which what a member tells of its
 	// requests in flight is set against a load report.
 	tellLeases = 0.6
 	// maxTold bounds the samples of what members told of.
