--- a/internal/control/membership/gossip.go
+++ b/internal/control/membership/gossip.go
@@ -43,7 +43,7 @@
 	var states []*peerv1.HostState
 	for _, id := range sortedKeys(m.peers) {
 		peer := m.peers[id]
-		if id != to && (gravity(peer.status) > 0 || peer.host.Leaving) {
+		if id != to && (severity(peer.status) > 0 || peer.host.Leaving) {
 			states = append(states, peer.state(false))
 		}
 	}
@@ -61,7 +61,7 @@
 	for _, update := range gossip.GetHosts() {
 		m.takeUpdate(now, update)
 	}
-	if peer := m.peers[in.From]; peer != nil && gravity(peer.status) > 0 {
+	if peer := m.peers[in.From]; peer != nil && severity(peer.status) > 0 {
 		// The sender does not know yet that it is suspected.
 		outs = append(outs, m.tell(now, in.From, &peerv1.Gossip{Hosts: []*peerv1.HostState{peer.state(false)}}))
 	}
@@ -95,7 +95,7 @@
 
 // refute answers a update that this host is not what it is.
 func (m *Machine) refute(update *peerv1.HostState) {
-	stale := update.GetIncarnation() != m.self.Incarnation || gravity(update.GetStatus()) > 0
+	stale := update.GetIncarnation() != m.self.Incarnation || severity(update.GetStatus()) > 0
 	if stale && update.GetCounter() >= m.own.counter {
 		m.own.counter = update.GetCounter() + 1
 		m.updates.add(m.self.ID)
@@ -104,7 +104,7 @@
 
 // meet takes in a host that is not on the list yet.
 func (m *Machine) meet(now time.Time, update *peerv1.HostState) {
-	if update.GetAddress() == "" || update.GetRegion() != m.self.Region || gravity(update.GetStatus()) > 0 {
+	if update.GetAddress() == "" || update.GetRegion() != m.self.Region || severity(update.GetStatus()) > 0 {
 		return
 	}
 	peer := &member{joined: now, host: control.EntryHost{
@@ -139,13 +139,13 @@
 		peer.host.Address = update.GetAddress()
 		m.changed = true
 	}
-	if gravity(update.GetStatus()) > 0 {
+	if severity(update.GetStatus()) > 0 {
 		m.adoptSuspicion(now, peer)
 	} else {
 		peer.status = update.GetStatus()
 		peer.host.Leaving = update.GetStatus() == peerv1.HostStatus_HOST_STATUS_LEAVING
 	}
-	if gravity(update.GetStatus()) > 0 || wasLeaving != peer.host.Leaving {
+	if severity(update.GetStatus()) > 0 || wasLeaving != peer.host.Leaving {
 		m.urgent = now.Add(urgency)
 	}
 	m.inForce = nil
@@ -154,7 +154,7 @@
 }
 
 func (m *Machine) adoptSuspicion(now time.Time, peer *member) {
-	if gravity(peer.status) > 0 {
+	if severity(peer.status) > 0 {
 		return
 	}
 	peer.status = peerv1.HostStatus_HOST_STATUS_SUSPECT
--- a/internal/control/membership/member.go
+++ b/internal/control/membership/member.go
@@ -27,16 +27,16 @@
 // has passed.
 func (m *member) live() bool { return m.status != peerv1.HostStatus_HOST_STATUS_DEAD }
 
-// supersedes reports whether a word about a host replaces what is believed: a
+// supersedes reports whether a update about a host replaces what is believed: a
 // higher counter wins, and with equal counters the graver status.
-func supersedes(word *peerv1.HostState, believed *member) bool {
-	if word.GetCounter() != believed.counter {
-		return word.GetCounter() > believed.counter
+func supersedes(update *peerv1.HostState, believed *member) bool {
+	if update.GetCounter() != believed.counter {
+		return update.GetCounter() > believed.counter
 	}
-	return gravity(word.GetStatus()) > gravity(believed.status)
+	return severity(update.GetStatus()) > severity(believed.status)
 }
 
-func gravity(status peerv1.HostStatus) int {
+func severity(status peerv1.HostStatus) int {
 	switch status {
 	case peerv1.HostStatus_HOST_STATUS_SUSPECT:
 		return 1
@@ -47,14 +47,14 @@
 	}
 }
 
-// state returns the word that this host passes on about a member.
+// state returns the update that this host passes on about a member.
 func (m *member) state(withAddress bool) *peerv1.HostState {
-	word := &peerv1.HostState{
+	update := &peerv1.HostState{
 		Id: m.host.ID, Incarnation: m.host.Incarnation, Status: m.status,
 		Counter: m.counter, ConfigOffset: m.configOffset,
 	}
 	if withAddress {
-		word.Address, word.AvailabilityZone, word.Region = m.host.Address, m.host.Zone, m.host.Region
+		update.Address, update.AvailabilityZone, update.Region = m.host.Address, m.host.Zone, m.host.Region
 	}
-	return word
+	return update
 }
--- a/internal/control/membership/probe.go
+++ b/internal/control/membership/probe.go
@@ -124,7 +124,7 @@
 // suspect begins a suspicion, unless this host itself seems cut off.
 func (m *Machine) suspect(now time.Time, id string) {
 	peer := m.peers[id]
-	if peer == nil || gravity(peer.status) > 0 || m.isolated(now) {
+	if peer == nil || severity(peer.status) > 0 || m.isolated(now) {
 		return
 	}
 	peer.status = peerv1.HostStatus_HOST_STATUS_SUSPECT
