--- a/internal/control/fleet/controller.go
+++ b/internal/control/fleet/controller.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -216,10 +218,10 @@
 		return m.replace(now, c, state)
 	}
 	var outs []control.Output
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		outs = append(outs, m.start(now, c, state.Wanted[id])...)
 	}
-	for _, id := range sortedKeys(state.Retired) {
+	for _, id := range slices.Sorted(maps.Keys(state.Retired)) {
 		outs = append(outs, m.stop(now, c, id, state.Retired[id])...)
 	}
 	outs = append(outs, m.loadWeights(now, c, state)...)
@@ -304,7 +306,7 @@
 func byNeed(state Service, listed map[string]hostlist.Host) []Host {
 	loaded, total := map[string]int{}, map[string]int{}
 	var waiting []Host
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		host := state.Wanted[id]
 		total[host.Version]++
 		if host.Loaded {
@@ -326,7 +328,7 @@
 	}
 	interval := max(verifyInterval, time.Duration(len(state.Wanted))*time.Second/verifyPerSecond)
 	var outs []control.Output
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		p := c.progress(id)
 		host, up := m.listed[id]
 		if !state.Wanted[id].Loaded || !up {
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -11,7 +11,8 @@
 package fleet
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -254,7 +255,7 @@
 		return nil
 	}
 	var outs []control.Output
-	for _, name := range sortedKeys(m.services) {
+	for _, name := range slices.Sorted(maps.Keys(m.services)) {
 		c := m.services[name]
 		outs = append(outs, m.tellDemand(now, c)...)
 		if m.fold.Known() {
@@ -310,12 +311,3 @@
 
 // Publish implements control.Machine.
 func (*Machine) Publish(time.Time, *control.Snapshot) {}
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/control/fleet/planning.go
+++ b/internal/control/fleet/planning.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -138,7 +140,7 @@
 		}
 	}
 	var ids []string
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		since, out := c.outSince[state.Wanted[id].Zone]
 		if out && now.Sub(since) >= zoneHold && !m.goes(id) {
 			ids = append(ids, id)
@@ -165,10 +167,10 @@
 // earlier controllers of which the log does not know.
 func (c *controller) adopt(state Service, listed map[string]hostlist.Host) []Host {
 	var hosts []Host
-	for _, id := range sortedKeys(c.replaced) {
+	for _, id := range slices.Sorted(maps.Keys(c.replaced)) {
 		hosts = append(hosts, c.replaced[id])
 	}
-	for _, id := range sortedKeys(listed) {
+	for _, id := range slices.Sorted(maps.Keys(listed)) {
 		host := listed[id]
 		_, wanted := state.Wanted[id]
 		_, retired := state.Retired[id]
@@ -184,7 +186,7 @@
 // loadedHosts returns the hosts whose order to load was carried out.
 func (m *Machine) loadedHosts(c *controller, state Service) []Host {
 	var hosts []Host
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		host := state.Wanted[id]
 		if !host.Loaded && c.progress(id).loaded {
 			host.Loaded = true
@@ -197,7 +199,7 @@
 // lost returns wanted hosts that are gone, leave, or could not be started.
 func (m *Machine) lost(now time.Time, c *controller, state Service) []string {
 	var ids []string
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		p := c.progress(id)
 		late := !p.listed && !p.first.IsZero() && now.Sub(p.first) > startTimeout
 		if p.gone || p.refused || late || m.goes(id) {
@@ -409,7 +411,7 @@
 // those that this fleet started or is starting.
 func (m *Machine) present(c *controller, state Service, lost map[string]bool, version string) (map[plan.Slot]int, map[plan.Slot][]string) {
 	fixed, running := map[plan.Slot]int{}, map[plan.Slot][]string{}
-	for _, id := range sortedKeys(state.Wanted) {
+	for _, id := range slices.Sorted(maps.Keys(state.Wanted)) {
 		host := state.Wanted[id]
 		if host.Version == version && !lost[id] {
 			slot := plan.Slot{Zone: host.Zone, Class: host.Class}
@@ -448,7 +450,7 @@
 			c.replaced[host.ID] = host
 		}
 	}
-	for _, id := range sortedKeys(c.replaced) {
+	for _, id := range slices.Sorted(maps.Keys(c.replaced)) {
 		outs = append(outs, m.start(now, c, c.replaced[id])...)
 	}
 	return outs
--- a/internal/control/membership/gossip.go
+++ b/internal/control/membership/gossip.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	peerv1 "github.com/marigoldmux/marigoldmux/internal/api/peer/v1"
@@ -41,7 +43,7 @@
 // dead or leaving.
 func (m *Machine) digest(to string) []*peerv1.HostState {
 	var states []*peerv1.HostState
-	for _, id := range sortedKeys(m.peers) {
+	for _, id := range slices.Sorted(maps.Keys(m.peers)) {
 		peer := m.peers[id]
 		if id != to && (severity(peer.status) > 0 || peer.host.Leaving) {
 			states = append(states, peer.state(false))
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -7,7 +7,7 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -257,7 +257,7 @@
 	}
 	m.rebuild()
 	changed := control.MembersChanged{}
-	for _, id := range sortedKeys(m.hosts) {
+	for _, id := range slices.Sorted(maps.Keys(m.hosts)) {
 		if host := m.hosts[id]; host.Region == m.self.Region {
 			changed.Hosts = append(changed.Hosts, host)
 		}
@@ -296,12 +296,3 @@
 	next.Leaving = m.own.host.Leaving
 	next.Deadline = m.deadline
 }
-
-func sortedKeys[V any](values map[string]V) []string {
-	keys := make([]string, 0, len(values))
-	for key := range values {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/control/membership/probe.go
+++ b/internal/control/membership/probe.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -91,7 +93,7 @@
 // checkProbes moves on the probes that took too long.
 func (m *Machine) checkProbes(now time.Time) []control.Output {
 	var outs []control.Output
-	for _, id := range sortedKeys(m.probes) {
+	for _, id := range slices.Sorted(maps.Keys(m.probes)) {
 		p := m.probes[id]
 		if now.Sub(p.started) < probeTimeout {
 			continue
@@ -143,7 +145,7 @@
 // expire declares suspects dead whose time has passed and forgets hosts that
 // are dead and not listed.
 func (m *Machine) expire(now time.Time) {
-	for _, id := range sortedKeys(m.peers) {
+	for _, id := range slices.Sorted(maps.Keys(m.peers)) {
 		peer := m.peers[id]
 		switch {
 		case peer.status == peerv1.HostStatus_HOST_STATUS_SUSPECT && now.Sub(peer.suspected) >= suspectTimeout:
--- a/internal/control/rollout/exchange.go
+++ b/internal/control/rollout/exchange.go
@@ -269,12 +269,3 @@
 	})
 	return refs
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/internal/control/rollout/gather.go
+++ b/internal/control/rollout/gather.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -154,7 +156,7 @@
 // summaries returns the messages of a tally.
 func (mv *move) summaries() []*peerv1.AttemptSummary {
 	var list []*peerv1.AttemptSummary
-	for _, route := range sortedKeys(mv.tally.routes) {
+	for _, route := range slices.Sorted(maps.Keys(mv.tally.routes)) {
 		a := mv.tally.routes[route]
 		for _, candidate := range []bool{false, true} {
 			counts, version := a.control, ""
@@ -186,7 +188,7 @@
 			ids[key.upstream] = true
 		}
 	}
-	return sortedKeys(ids)
+	return slices.Sorted(maps.Keys(ids))
 }
 
 // collect adds a summary to the evidence of all hosts.
