plain: the tests of broken connections wait for an idle connection

Cause: the client may close a connection after its response if it does not know yet that the request was written (it waits 50 ms), so the call under test opened a new one, which the test's upstream answered. Ruled out: a connection that is put back late; the transport puts it back before the body ends. The tests now warm up until a connection was put back, and require that the call under test reused it: a new check.

--- a/internal/upstream/plain/plain_test.go
+++ b/internal/upstream/plain/plain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -68,13 +69,40 @@
 	}
 }
 
-// callTwice makes one call to establish a connection and then the call under test.
+// maxWarmUps bounds the calls made until one leaves its connection idle.
+const maxWarmUps = 50
+
+// callTwice makes calls until one leaves its connection idle, and then the call
+// under test on that connection. On a busy machine the client may close a
+// connection after its response, since it does not know yet that the request was
+// written.
 func (f *flakyUpstream) callTwice(t *testing.T) (plain.Response, error) {
 	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient())
 	call := plain.Call{RequestID: "r/1", Route: "book", Body: []byte(`{"for": "Ana"}`)}
-	_, err := client.Call(context.Background(), call)
+	idle := false
+	for try := 0; !idle && try < maxWarmUps; try++ {
+		idle = leavesIdle(t, client, call)
+	}
+	require.True(t, idle, "no connection became idle")
+	reused := false
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused },
+	})
+	response, err := client.Call(ctx, call)
+	require.True(t, reused, "the call under test opened a connection")
+	return response, err
+}
+
+// leavesIdle makes a call and reports whether its connection became idle. The
+// client decides that before the body ends.
+func leavesIdle(t *testing.T, client *plain.Client, call plain.Call) bool {
+	var idle atomic.Bool
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		PutIdleConn: func(err error) { idle.Store(err == nil) },
+	})
+	_, err := client.Call(ctx, call)
 	require.NoError(t, err)
-	return client.Call(context.Background(), call)
+	return idle.Load()
 }
 
 // TestConnectionDiesInTheAnswer checks that a call whose response breaks off after
