gateway: keep to what upstreams say about the requests that they want

An upstream that leaves says so in all its responses, and one that turns a request away may say for how long. Both were passed over: a host sent on until the store's list said that the upstream drains, and at once after a 503. advisory.Table keeps both by instance (ID and start), so that a fresh process under the same ID or address is not concerned. Leaving ends only with the instance and is told to peers behind the digest, as a map: the digest itself is an array, of which a former build rejects any other length (msgpack). A pause is the host's own, at most 2 minutes, on boot time, which counts suspends. Both are checked again after the connection was opened.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -92,6 +92,13 @@
 	KeepAlive time.Duration
 	// Close is set when the upstream closes the connection after the response.
 	Close bool
+	// Leaving is set when the upstream states that it leaves: it wants no further
+	// requests.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests of this host; 0 if
+	// not stated. RetryAfterErr is set when the stated value is invalid.
+	RetryAfter    time.Duration
+	RetryAfterErr error
 }
 
 // Codec translates between the protocol of callers and upstreams and the types
--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -48,6 +48,9 @@
 	extraLatency time.Duration
 	// latency is the time to the response or to the first event of its stream.
 	latency time.Duration
+	// withheld is set when nothing was sent since the upstream wants no requests;
+	// it can be reached.
+	withheld bool
 	// serverError is set when the upstream responded with a status of 500 or
 	// above.
 	serverError bool
@@ -106,6 +109,11 @@
 	if err != nil {
 		return p.notSentOutcome(err)
 	}
+	if p.h.Advisories.State(m, boottime.Now()).Closed() {
+		// It said so while the connection was opened.
+		p.h.Pool.Put(m.ID, conn, 0)
+		return outcome{disposition: notSent, reason: "upstream wants no requests", withheld: true}
+	}
 	p.sends++
 	a := &attempt{proxyRequest: p, member: m, conn: conn, sentAt: boottime.Now(), wallSentAt: p.h.Usage.Now()}
 	a.lastReceivedAt = a.sentAt
@@ -186,6 +194,7 @@
 			a.h.Stats.MismatchedResponses.Add(1)
 			continue
 		}
+		a.recordAdvisories(resp, head)
 		keep, result := a.handleResponse(resp, head)
 		keep = keep && writeErr == nil && !head.Close && a.conn.Reader.Buffered() == 0
 		return keep, head.KeepAlive, result
@@ -234,7 +243,8 @@
 // hasAlternative reports whether another upstream is available that is not
 // suspect.
 func (a *attempt) hasAlternative(now time.Duration) bool {
-	for _, m := range a.eligible(a.h.Snapshots.Snapshot().View) {
+	members, _ := a.eligible(a.h.Snapshots.Snapshot().View, now)
+	for _, m := range members {
 		if m.ID != a.member.ID && !a.h.InFlight.State(m.ID, now).Suspect {
 			return true
 		}
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -17,6 +17,10 @@
 	eventRefused       = event.Define(901, zapcore.WarnLevel, "request refused or failed by this host")
 	eventStreamAborted = event.Define(902, zapcore.WarnLevel, "stream aborted")
 	eventCallerGone    = event.Define(903, zapcore.InfoLevel, "caller disconnected")
+
+	eventUpstreamLeaves  = event.Define(906, zapcore.InfoLevel, "upstream leaves")
+	eventUpstreamPauses  = event.Define(907, zapcore.InfoLevel, "upstream pauses")
+	eventAdvisoryIgnored = event.Define(908, zapcore.WarnLevel, "pause of an upstream ignored")
 )
 
 func (p *proxyRequest) log(e *event.Event, status int, reason string) {
@@ -38,6 +42,9 @@
 	// MismatchedResponses discarded responses to other attempts, and HeldRequests
 	// requests ended since requests like them crashed upstreams.
 	Answered, Refused, AbortedStreams, CallerDisconnects, MismatchedResponses, HeldRequests atomic.Int64
+	// LeavingUpstreams counts the upstreams that told this host that they leave,
+	// UpstreamPauses the responses in which one wanted no requests for a while.
+	LeavingUpstreams, UpstreamPauses atomic.Int64
 
 	mu        sync.Mutex
 	latencies map[string]*hdrhistogram.Histogram
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/cold"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/control"
@@ -53,8 +54,10 @@
 	Cold      *cold.Limiter
 	Retry     *retry.Budget
 	Poison    *poison.Table
-	Usage     *usage.Counter
-	Events    *event.Logger
+	// Advisories holds what upstreams say about the requests that they want.
+	Advisories *advisory.Table
+	Usage      *usage.Counter
+	Events     *event.Logger
 	// VersionShares returns the share, from 0 to 1, of a service's requests that
 	// go to the target version of a rollout.
 	VersionShares interface {
@@ -141,6 +144,9 @@
 	// progress, and failure the reason for which the latest finished attempt
 	// failed: after a successful retry, that of the attempt before.
 	upstream, failure string
+	// upstreamPause is the shortest remaining pause of the upstreams that wanted no
+	// requests when one was chosen last, 0 if there were none.
+	upstreamPause time.Duration
 	// fallback is an error response of an upstream, sent to the caller if no
 	// further attempt succeeds.
 	fallback *bufferedResponse
--- a/internal/gateway/forward/response.go
+++ b/internal/gateway/forward/response.go
@@ -32,8 +32,12 @@
 }
 
 // retryAfterNoUpstream returns the Retry-After of a request for which no
-// upstream is available.
+// upstream is available: the remaining pause if upstreams only pause, and more at
+// random, so that callers do not return all at once.
 func (p *proxyRequest) retryAfterNoUpstream() time.Duration {
+	if p.upstreamPause > 0 {
+		return p.upstreamPause + time.Duration(rand.Int64N(int64(retryNoUpstream)))
+	}
 	return jitter(retryNoUpstream + time.Duration(urgency(p.route, p.customer))*retryPerRank)
 }
 
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -101,8 +101,12 @@
 	if service == nil {
 		return nil, "no service"
 	}
-	members := p.eligible(view)
-	if len(members) == 0 {
+	members, pause := p.eligible(view, now)
+	p.upstreamPause = pause
+	switch {
+	case len(members) == 0 && pause > 0:
+		return nil, "all upstreams pause"
+	case len(members) == 0:
 		return nil, "no upstream"
 	}
 	request := p.placement(service)
@@ -121,18 +125,27 @@
 	return nil, "all upstreams are cold"
 }
 
-// eligible returns the upstreams to which the request may be sent.
-func (p *proxyRequest) eligible(view *catalog.View) []*catalog.Member {
+// eligible returns the upstreams to which the request may be sent, and the
+// shortest remaining pause of those that only want no requests for a while, 0 if
+// there are none.
+func (p *proxyRequest) eligible(view *catalog.View, now time.Duration) ([]*catalog.Member, time.Duration) {
 	var members []*catalog.Member
+	var pause time.Duration
 	for _, m := range view.Members[p.service] {
-		if !m.Draining && !view.ExcludedZones[m.Zone] && !p.attempted[m.ID] {
+		if m.Draining || view.ExcludedZones[m.Zone] || p.attempted[m.ID] {
+			continue
+		}
+		state := p.h.Advisories.State(m, now)
+		if !state.Closed() {
 			members = append(members, m)
+		} else if !state.Leaving {
+			pause = shortestPause(pause, state.PausedFor)
 		}
 	}
 	if rollout, ok := view.Rollouts[p.service]; ok {
-		return p.filterByVersion(members, rollout.Target)
+		members = p.filterByVersion(members, rollout.Target)
 	}
-	return members
+	return members, pause
 }
 
 // filterByVersion returns the upstreams of one side of a rollout: those of the
@@ -188,7 +201,9 @@
 	case finished:
 		p.h.InFlight.RecordLatency(m.ID, result.extraLatency, now)
 	case notSent:
-		p.h.InFlight.MarkSuspect(m.ID, now)
+		if !result.withheld {
+			p.h.InFlight.MarkSuspect(m.ID, now)
+		}
 	case unknown:
 		p.h.InFlight.RecordFailure(m.ID, now)
 		if result.unresponsive {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/capacity"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/cold"
@@ -120,9 +121,11 @@
 	cold     *cold.Limiter
 	retry    *retry.Budget
 	poison   *poison.Table
-	usage    *usage.Counter
-	duties   *duty.Driver
-	stats    *forward.Stats
+	// advisories holds what upstreams say in their responses.
+	advisories *advisory.Table
+	usage      *usage.Counter
+	duties     *duty.Driver
+	stats      *forward.Stats
 	// updates applies what this host read from the log or through a reader, a
 	// peer that reads the log for others.
 	updates *updateApplier
@@ -148,8 +151,8 @@
 		retry: retry.NewBudget(retry.Limit{
 			Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: o.RetryBudget.Window.D(),
 		}),
-		poison: poison.NewTable(),
-		usage:  usage.NewCounter(o.UsageWindow.D()), stats: &forward.Stats{}, peerSequences: map[uint64]uint64{},
+		poison: poison.NewTable(), advisories: advisory.NewTable(),
+		usage: usage.NewCounter(o.UsageWindow.D()), stats: &forward.Stats{}, peerSequences: map[uint64]uint64{},
 	}
 	g.source.Store(&relay.Source{ReadsLog: true})
 	g.loop = control.NewLoop(o.Host, g.peerAddress, g)
@@ -157,7 +160,7 @@
 	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit}
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
-		Cold: g.cold, Retry: g.retry, Poison: g.poison, Usage: g.usage, Events: events,
+		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Usage: g.usage, Events: events,
 		VersionShares: g, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
 	})
 	g.duties = duty.NewDriver(duty.Deps{
@@ -290,6 +293,7 @@
 		}
 		g.peerSequences[p.Incarnation] = p.Sequence
 		g.poison.MergePeer(p.Crashes, p.Cleared, now)
+		g.advisories.MergePeer(p.Extension.Leaving, now)
 		g.quota.RecordPeerUsage(strconv.FormatUint(p.Incarnation, 36), p.QuotaUsed, now-g.startedAt > startupWindow, now)
 	}
 }
--- a/internal/gateway/members/codec.go
+++ b/internal/gateway/members/codec.go
@@ -1,6 +1,8 @@
 package members
 
 import (
+	"bytes"
+
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -18,7 +20,14 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrDigest, err.Error())
 	}
-	return data, nil
+	if d.Extension.empty() {
+		return data, nil
+	}
+	extension, err := msgpack.Marshal(&d.Extension)
+	if err != nil {
+		return nil, eris.Wrap(ErrDigest, err.Error())
+	}
+	return append(data, extension...), nil
 }
 
 // Decode decodes a datagram. Its error is an ErrDigest.
@@ -27,7 +36,15 @@
 	if len(data) > MaxDigestBytes {
 		return d, eris.Wrapf(ErrDigest, "%d bytes", len(data))
 	}
-	if err := msgpack.Unmarshal(data, &d); err != nil {
+	reader := bytes.NewReader(data)
+	decoder := msgpack.NewDecoder(reader)
+	if err := decoder.Decode(&d); err != nil {
+		return Digest{}, eris.Wrap(ErrDigest, err.Error())
+	}
+	if reader.Len() == 0 {
+		return d, nil
+	}
+	if err := decoder.Decode(&d.Extension); err != nil {
 		return Digest{}, eris.Wrap(ErrDigest, err.Error())
 	}
 	return d, nil
--- a/internal/gateway/members/compat_test.go
+++ b/internal/gateway/members/compat_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 )
 
@@ -37,6 +39,26 @@
 	}
 }
 
+// TestFormerBuildReadsExtendedDigest checks that the parts that were added later
+// follow the bytes of a former build, which stops reading before them.
+func TestFormerBuildReadsExtendedDigest(t *testing.T) {
+	former, err := os.ReadFile(filepath.Join("testdata", "compat", "full.msgpack"))
+	require.NoError(t, err)
+	want := fullDigest()
+	want.Extension.Leaving = []advisory.Instance{1<<63 + 31, 32}
+	data, err := members.Encode(&want)
+	require.NoError(t, err)
+	require.Equal(t, former, data[:len(former)])
+	got, err := members.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	var first members.Digest
+	require.NoError(t, msgpack.Unmarshal(data, &first), "what a former build does")
+	require.Equal(t, fullDigest(), first)
+	_, err = members.Decode(data[:len(data)-1])
+	require.ErrorIs(t, err, members.ErrDigest)
+}
+
 func TestReadsFormerData(t *testing.T) {
 	full := fullDigest()
 	// Values of zero of the flags, and a load that tells nothing.
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 )
 
 // Detail selects the parts of a digest that are sent.
@@ -101,8 +103,19 @@
 	ViewAge time.Duration
 	// Detail says which parts are sent; the others are empty.
 	Detail Detail
+	// Extension follows the other parts.
+	Extension Extension `msgpack:"-"`
+}
+
+// Extension holds the parts of a digest that were added later. On the wire it is
+// a map behind the digest: a build that does not know it stops reading before it.
+type Extension struct {
+	// Leaving are the instances of upstreams that told the host that they leave.
+	Leaving []advisory.Instance `msgpack:"leaving,omitempty"`
 }
 
+func (e Extension) empty() bool { return len(e.Leaving) == 0 }
+
 // Trim returns a copy of the digest reduced to a level of detail.
 func (d Digest) Trim(detail Detail) *Digest {
 	d.Detail = detail
@@ -111,7 +124,7 @@
 	}
 	if detail < Load {
 		d.InFlight, d.Suspects, d.QuotaUsed = nil, nil, nil
-		d.Crashes, d.Cleared = nil, nil
+		d.Crashes, d.Cleared, d.Extension = nil, nil, Extension{}
 	}
 	return &d
 }
@@ -125,7 +138,7 @@
 	}
 	if d.Detail < Load {
 		d.InFlight, d.Suspects, d.QuotaUsed = previous.InFlight, previous.Suspects, previous.QuotaUsed
-		d.Crashes, d.Cleared = previous.Crashes, previous.Cleared
+		d.Crashes, d.Cleared, d.Extension = previous.Crashes, previous.Cleared, previous.Extension
 	}
 	return d
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -168,7 +168,7 @@
 		Crashes: crashes, Cleared: cleared,
 		QuotaUsed: g.quota.Used(), Usage: g.usage.Recent(g.usage.Now()), Demand: g.inFlight.Demand(),
 		VersionStats: g.inFlight.VersionStats(view.Rollouts), TargetStats: g.inFlight.TargetStats(view), VersionShares: g.duties.VersionShares(),
-		ViewAge: g.viewAge(now),
+		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving()},
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/forward"
 )
 
@@ -80,12 +81,15 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			listed := map[string]bool{}
+			now := boottime.Now()
+			listed, instances := map[string]bool{}, map[advisory.Instance]bool{}
 			for _, upstreams := range g.loop.Snapshot().View.Members {
 				for _, m := range upstreams {
-					listed[m.ID] = !m.Draining
+					listed[m.ID] = !m.Draining && !g.advisories.State(m, now).Leaving
+					instances[advisory.InstanceOf(m)] = true
 				}
 			}
+			g.advisories.Retain(instances, now)
 			g.pool.Retain(listed)
 			g.inFlight.Retain(listed)
 			g.cold.Retain(listed)
@@ -102,6 +106,7 @@
 type metrics struct {
 	Answered, Refused, Cut, Left, Stray int64
 	Held, Active                        int64
+	LeavingUpstreams, UpstreamPauses    int64
 	Dials                               uint64
 	LogLinesDropped, LogLinesSampled    int64
 	ConfigVersion                       int64
@@ -122,7 +127,8 @@
 	m := metrics{
 		Answered: g.stats.Answered.Load(), Refused: g.stats.Refused.Load(), Cut: g.stats.AbortedStreams.Load(),
 		Left: g.stats.CallerDisconnects.Load(), Stray: g.stats.MismatchedResponses.Load(),
-		Held: g.stats.HeldRequests.Load(), Active: g.forward.Active(), Dials: g.pool.Dials(),
+		Held: g.stats.HeldRequests.Load(), Active: g.forward.Active(),
+		LeavingUpstreams: g.stats.LeavingUpstreams.Load(), UpstreamPauses: g.stats.UpstreamPauses.Load(), Dials: g.pool.Dials(),
 		LogLinesDropped: g.sink.Dropped(), LogLinesSampled: g.sink.Sampled(),
 		ConfigAgeMs: (now - s.View.ConfirmedAt).Milliseconds(), ListAgeMs: (now - s.View.ListedAt).Milliseconds(),
 		Peers: len(s.Peers), Holders: s.SenderCount, DutyToken: token,
