poison: only the coordinator of a service holds requests, and only on all losses

Cause: every host also judged the crashes that it knew itself. When all upstreams restart, a request can be sent on to one that is about to be killed; a host without other losses then sees one request lost in two crashes and nothing that tells them from a crashing request. The same happens where a reclaim changes the coordinator and the losses are split between two. Ruled out: the rule for correlated crashes; it tells them as soon as one other request was lost. Test: TestOnlyTheCoordinatorHoldsRequests fails on the former code.

--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -1,7 +1,9 @@
 // Package poison holds requests that crash the upstreams that run them.
 //
 // Hosts report the requests that were lost with an upstream to the coordinator
-// of the service, a live host chosen by rendezvous hashing. It adds up the
+// of the service, a live host chosen by rendezvous hashing. Only it decides: the
+// losses of one host alone look like those of a crash where all upstreams restarted
+// and a request was sent on from one to the next. The coordinator adds up the
 // weights of a request's losses and holds the request of a crash with the highest
 // sum: from holdWeight if no other request of the crash has the same sum, from
 // tieWeight in any case. A complete response clears a request. A loss does not
@@ -51,6 +53,9 @@
 	// correlationWindow is the time within which crashes of several upstreams
 	// are considered one event.
 	correlationWindow = time.Second
+	// handOver is how long before and after a change of members hosts may report
+	// to different coordinators.
+	handOver = 3 * time.Second
 )
 
 // Hold is the log record of a held request. Holds are short, so their stream
@@ -75,6 +80,9 @@
 type Machine struct {
 	self    control.Self
 	members []string
+	// former holds the members before the last change, which was at changedAt.
+	former    []string
+	changedAt time.Time
 	// leaving and notices hold the IDs of the upstreams that are listed as
 	// leaving and of the hosts with a reclaim notice.
 	leaving map[string]bool
@@ -137,7 +145,7 @@
 			m.notices[notice.HostID] = true
 		}
 	case control.MembersChanged:
-		m.setMembers(in.Hosts)
+		m.setMembers(now, in.Hosts)
 	case control.Record:
 		if in.Stream == logsvc.StreamHolds {
 			m.applyRecord(in.Record)
@@ -149,13 +157,34 @@
 	return nil
 }
 
-func (m *Machine) setMembers(hosts []control.EntryHost) {
-	m.members = m.members[:0]
+func (m *Machine) setMembers(now time.Time, hosts []control.EntryHost) {
+	var members []string
 	for _, host := range hosts {
 		if !host.Leaving {
-			m.members = append(m.members, host.ID)
+			members = append(members, host.ID)
 		}
 	}
+	if slices.Equal(members, m.members) {
+		return
+	}
+	if now.Sub(m.changedAt) > handOver {
+		m.former = m.members
+	}
+	m.members, m.changedAt = members, now
+}
+
+func coordinatorOf(service string, members []string) string {
+	return rendezvous.First("poison/"+service, members)
+}
+
+// hasAllEvidence reports whether the losses of all hosts around a crash were
+// reported to this host: it is the coordinator and was so before the last change
+// of members, unless that was long before the crash.
+func (m *Machine) hasAllEvidence(c *crash) bool {
+	if coordinatorOf(c.service, m.members) != m.self.ID {
+		return false
+	}
+	return m.changedAt.Before(c.first.Add(-handOver)) || coordinatorOf(c.service, m.former) == m.self.ID
 }
 
 func (m *Machine) setLeaving(hosts []hostlist.Host) {
@@ -187,7 +216,7 @@
 		return nil
 	}
 	m.applySuspects(now, suspects)
-	coordinator := rendezvous.First("poison/"+in.Service, m.members)
+	coordinator := coordinatorOf(in.Service, m.members)
 	if coordinator == m.self.ID || coordinator == "" {
 		return nil
 	}
@@ -259,7 +288,9 @@
 }
 
 // evaluateDue evaluates the crashes whose evaluationDelay has passed. Correlated
-// crashes lose their weights instead.
+// crashes lose their weights instead. Where losses at other hosts may be missing,
+// a crash cannot be told from a correlated one; its weights then count only in
+// later crashes.
 func (m *Machine) evaluateDue(now time.Time) []control.Output {
 	var outs []control.Output
 	for _, c := range m.crashes {
@@ -271,6 +302,9 @@
 			clear(c.lost)
 			continue
 		}
+		if !m.hasAllEvidence(c) {
+			continue
+		}
 		outs = append(outs, m.evaluate(now, c)...)
 	}
 	return outs
--- a/internal/control/poison/poison_test.go
+++ b/internal/control/poison/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/control/poison"
 	"github.com/marigoldmux/marigoldmux/internal/platform/cloud"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 	"github.com/marigoldmux/marigoldmux/internal/request"
 	"github.com/marigoldmux/marigoldmux/internal/standin"
 	"github.com/marigoldmux/marigoldmux/internal/testbed"
@@ -114,6 +116,47 @@
 	require.Empty(t, f.held())
 }
 
+// TestOnlyTheCoordinatorHoldsRequests guards against holding a harmless request
+// that was sent on while all upstreams restarted: a host that knows only its own
+// losses sees one request lost in two crashes and none besides.
+func TestOnlyTheCoordinatorHoldsRequests(t *testing.T) {
+	ids := []string{"entry-0", "entry-1", "entry-2", "entry-3"}
+	coordinator := rendezvous.First("poison/s", ids)
+	withoutIt := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == coordinator })
+	successor := rendezvous.First("poison/s", withoutIt)
+	members := func(ids []string) control.MembersChanged {
+		var in control.MembersChanged
+		for _, id := range ids {
+			in.Hosts = append(in.Hosts, control.EntryHost{ID: id})
+		}
+		return in
+	}
+	loseTwice := func(f *fixture) {
+		for _, id := range []string{"u1", "u2"} {
+			f.attempt(id, crashingRequest, f.now.Add(-time.Second), &upstream.Failure{Kind: upstream.Lost})
+		}
+		f.wait()
+	}
+	for _, self := range ids {
+		f := newFixture()
+		f.machine.Init(control.Self{ID: self})
+		f.machine.Step(f.now, members(ids))
+		f.wait()
+		loseTwice(f)
+		require.Equal(t, self == coordinator, len(f.held()) > 0, "%s of %s", self, coordinator)
+	}
+
+	f := newFixture()
+	f.machine.Init(control.Self{ID: successor})
+	f.machine.Step(f.now, members(ids))
+	f.wait()
+	f.machine.Step(f.now, members(withoutIt))
+	loseTwice(f)
+	require.Empty(t, f.held(), "other hosts may have reported to the former coordinator")
+	f.crash("u3", crashingRequest)
+	require.Len(t, f.held(), 1, "the losses count in later crashes")
+}
+
 // TestInterruptedStreamIsNotHeldForTwoLosses checks that a stream that is lost
 // twice after its first token is not held.
 func TestInterruptedStreamIsNotHeldForTwoLosses(t *testing.T) {
