gateway: bound what is read of a response, and the memory of all bodies

A head may have 64 KB with its interim responses, a stray response 1 MB; a rejection is read for 50 ms; an event may have 128 KB; all bodies of a host 48 MB together (a caller's stated length no longer reserves memory). Beyond that the connection is closed and the outcome is unknown, or for a caller's body 503.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -71,11 +71,14 @@
 	// maxMismatched bounds the responses read on a connection to find the one to
 	// this attempt.
 	maxMismatched = 3
-	// maxResponseBytes bounds buffered response bodies.
-	maxResponseBytes = 8 << 20
+	// rejectionTimeout bounds the time to read the body of a rejection.
+	rejectionTimeout = 50 * time.Millisecond
 )
 
-var errUnresponsive = errors.New("upstream is silent")
+var (
+	errUnresponsive = errors.New("upstream is silent")
+	errNoID         = errors.New("answer has no ID")
+)
 
 // bufferedResponse is a complete response of an upstream.
 type bufferedResponse struct {
@@ -187,11 +190,16 @@
 		if err != nil {
 			return false, 0, a.errorOutcome(err)
 		}
-		if head.ID != "" && head.ID != a.call.ID {
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+		// Upstreams echo the ID in all responses. What a response without it says,
+		// be it that the request has not run, may concern another request.
+		if head.ID == "" && a.call.ID != "" {
+			return false, 0, a.errorOutcome(errNoID)
+		}
+		if head.ID != a.call.ID {
+			a.h.Stats.MismatchedResponses.Add(1)
+			if err := discard(resp.Body, maxStrayBytes); err != nil {
 				return false, 0, a.errorOutcome(err)
 			}
-			a.h.Stats.MismatchedResponses.Add(1)
 			continue
 		}
 		a.recordAdvisories(resp, head)
@@ -202,8 +210,31 @@
 	return false, 0, a.errorOutcome(errors.New("too many stray answers"))
 }
 
-// readHead reads the head of the next response, without interim (1xx) ones.
+// discard reads a body to its end. It returns errTooLong if the body has more than
+// limit bytes.
+func discard(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && n > limit {
+		return errTooLong
+	}
+	return err
+}
+
+// discardRejection reads the body of a rejection and reports whether the
+// connection can be reused. A long or slow body is not waited for.
+func (a *attempt) discardRejection(body io.Reader) bool {
+	a.conn.OnReadTimeout = nil
+	if a.conn.SetReadDeadline(time.Now().Add(rejectionTimeout)) != nil {
+		return false
+	}
+	return discard(body, maxRejectionBytes) == nil
+}
+
+// readHead reads the head of the next response, without interim (1xx) ones, which
+// count towards the bound of the head.
 func (a *attempt) readHead() (*http.Response, exchange.Response, error) {
+	a.conn.BoundHead()
+	defer a.conn.UnboundHead()
 	for {
 		resp, err := http.ReadResponse(a.conn.Reader, &http.Request{Method: a.call.Method})
 		if err != nil {
@@ -283,8 +314,7 @@
 // reused.
 func (a *attempt) handleResponse(resp *http.Response, head exchange.Response) (bool, outcome) {
 	if head.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
-		return err == nil, outcome{disposition: notRun, reason: "rejected by upstream: " + resp.Status}
+		return a.discardRejection(resp.Body), outcome{disposition: notRun, reason: "rejected by upstream: " + resp.Status}
 	}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && !head.Signed {
@@ -294,7 +324,7 @@
 		return a.relayStream(resp)
 	}
 	a.inFlight.Received(boottime.Now())
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := a.buffers.readAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return false, a.errorOutcome(err)
 	}
--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"net/http"
 )
 
@@ -14,17 +12,17 @@
 	if p.r.ContentLength == 0 {
 		return true
 	}
-	limit := int64(defaultMaxBodyBytes)
+	limit := defaultMaxBodyBytes
 	if doc := p.h.Snapshots.Snapshot().View.Document; doc != nil && doc.Limits.MaxBodyBytes > 0 {
-		limit = int64(doc.Limits.MaxBodyBytes)
+		limit = doc.Limits.MaxBodyBytes
 	}
-	var buf bytes.Buffer
-	if p.r.ContentLength > 0 && p.r.ContentLength <= limit {
-		buf.Grow(int(p.r.ContentLength) + bytes.MinRead)
-	}
-	_, err := io.Copy(&buf, http.MaxBytesReader(p.w, p.r.Body, limit))
+	body, err := p.buffers.readAll(http.MaxBytesReader(p.w, p.r.Body, int64(limit)), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		p.w.Header().Set("Connection", "close")
+		p.refuse(http.StatusServiceUnavailable, err.Error(), jitter(retryOtherHost))
+		return false
 	case errors.As(err, &tooLarge):
 		p.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
 		return false
@@ -33,6 +31,6 @@
 		p.refuse(http.StatusBadRequest, "body broke off: "+err.Error(), 0)
 		return false
 	}
-	p.call.Body = buf.Bytes()
+	p.call.Body = body
 	return true
 }
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
@@ -74,6 +76,8 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Deps
+	// bodies is the memory that the bodies of all requests may take.
+	bodies        *semaphore.Weighted
 	stopping      atomic.Pointer[StopDeadlines]
 	active        atomic.Int64
 	lastRequestAt atomic.Int64
@@ -87,7 +91,7 @@
 }
 
 // New returns a Handler with the given dependencies.
-func New(deps Deps) *Handler { return &Handler{Deps: deps} }
+func New(deps Deps) *Handler { return &Handler{Deps: deps, bodies: newBufferMemory()} }
 
 // Stop starts the shutdown: connections of callers are closed after their
 // response, and requests are refused from the given deadlines on.
@@ -109,6 +113,8 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	service  string
+	// buffers holds the bodies of the request and its responses.
+	buffers bodyBuffers
 	// deadline is the boot time at which the caller's timeout, or defaultTimeout
 	// if it states none, or the route's timeout ends, whichever is first.
 	deadline time.Duration
@@ -157,7 +163,8 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	call, err := h.Codec.DecodeCall(r)
-	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}}
+	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}, buffers: bodyBuffers{memory: h.bodies}}
+	defer p.buffers.release()
 	h.lastRequestAt.Store(int64(call.Arrived))
 	if stop := h.stopping.Load(); stop != nil {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -15,9 +15,9 @@
 // are read in parts.
 const eventBufferBytes = 2048
 
-// maxEventBytes bounds an event, so that a stream without line ends cannot take
-// all memory.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds an event, so that streams without line ends cannot take all
+// memory.
+const maxEventBytes = 128 << 10
 
 var errEventTooLong = errors.New("event is too long")
 
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -37,8 +37,15 @@
 	maxIdlePerUpstream = 24
 	// readBufferBytes is the size of the buffer for responses.
 	readBufferBytes = 2048
+	// maxHeadBytes bounds the head of a response, with interim responses before
+	// it and what was read ahead of its body.
+	maxHeadBytes = 64 << 10
 )
 
+// ErrHeadTooLong is returned by Read when the head of a response does not end
+// within maxHeadBytes.
+var ErrHeadTooLong = eris.New("head of the response does not end")
+
 // ErrDial is the root of errors from opening a connection; nothing was sent.
 var ErrDial = eris.New("upstream cannot be reached")
 
@@ -50,6 +57,10 @@
 	// it has set a new deadline and the read continues; else the read fails with
 	// its error.
 	OnReadTimeout func() error
+	// headLeft is the number of bytes that may still be read of a head, if
+	// headBounded is set.
+	headLeft    int
+	headBounded bool
 	// idleLimit is how long the connection may be idle before it is closed, and
 	// idleSince the boot time at which it became idle.
 	idleLimit time.Duration
@@ -119,11 +130,25 @@
 	return conn, nil
 }
 
+// BoundHead makes Read fail with ErrHeadTooLong after maxHeadBytes, until
+// UnboundHead is called.
+func (c *Conn) BoundHead() { c.headLeft, c.headBounded = maxHeadBytes, true }
+
+// UnboundHead ends the bound that BoundHead set.
+func (c *Conn) UnboundHead() { c.headBounded = false }
+
 // Read implements io.Reader. It calls OnReadTimeout when the read deadline
 // passes.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.headBounded {
+		if c.headLeft <= 0 {
+			return 0, ErrHeadTooLong
+		}
+		b = b[:min(len(b), c.headLeft)]
+	}
 	for {
 		n, err := c.Conn.Read(b)
+		c.headLeft -= n
 		if n > 0 || c.OnReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
