quota: follow what peers use from the start, and use a part of the tolerance

Cause: a host began to follow a customer's quota at its own first request, so each of n hosts admitted that one whatever the others had used. A part of the tolerance that the platform's settings state is used, after what hosts may admit before they have heard of each other.

--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -26,6 +26,32 @@
 	overdraftShare = 0.3
 )
 
+// Hosts may together overdraw a quota by a part of its tolerance, so that few
+// requests within it are refused by mistake. What hosts may admit before they have
+// heard of each other is set aside first.
+const (
+	// toleranceShare is the share of the tolerance that is left then.
+	toleranceShare = 0.5
+	// surge is a sudden use for which tolerance is set aside, as a multiple of the
+	// rate.
+	surge = 4
+	// usualDelay is the time until peers hear of a use in a small fleet.
+	usualDelay = 250 * time.Millisecond
+)
+
+// Tolerance is how far the use of a customer may exceed the quota of a window.
+type Tolerance struct {
+	// Excess is a share of the quota of the window, Slack an amount.
+	Excess, Slack float64
+	Window        time.Duration
+}
+
+// of returns the tolerance for a customer's quota. It is bounded by the burst, so
+// that a slack that is meant for other units does not lift a quota.
+func (t Tolerance) of(c *catalog.Customer) float64 {
+	return min(t.Excess*(c.Rate*t.Window.Seconds()+c.Burst)+t.Slack, 2*c.Burst)
+}
+
 // chanceDeviations is the number of standard deviations of a number of uses that are
 // attributed to chance.
 const chanceDeviations = 1.0
@@ -40,7 +66,9 @@
 // overdrawn.
 type bucket struct {
 	rate, burst, level float64
-	refilledAt         time.Duration
+	// overdraft is the amount by which all hosts may overdraw the quota.
+	overdraft  float64
+	refilledAt time.Duration
 	// used is what this host used since the process began.
 	used float64
 	// ownRate and peerRate are the rates at which this host and its peers have
@@ -108,18 +136,20 @@
 // each side has its own bucket, so that the burst is divided as well as the rate.
 func (b *bucket) refill(now time.Duration, share float64) {
 	if now > b.refilledAt {
-		b.level = min(b.level+b.rate*share*(now-b.refilledAt).Seconds(), b.burst*share)
+		b.level += b.rate * share * (now - b.refilledAt).Seconds()
 		b.refilledAt = now
 	}
+	b.level = min(b.level, b.burst*share)
 }
 
 // minLevel returns the level above which a request of an amount is admitted by a
 // host that may use a share of the burst.
 func (b *bucket) minLevel(amount, share float64) float64 {
+	overdraft := b.overdraft
 	if amount <= b.rate*smallShare {
-		return -b.burst * share * overdraftShare
+		overdraft += b.burst * overdraftShare
 	}
-	return 0
+	return -overdraft * share
 }
 
 // Limiter holds the buckets of all customers. It is safe for concurrent use.
@@ -131,11 +161,12 @@
 	share            float64
 	propagationDelay time.Duration
 	peerCount        int
+	tolerance        Tolerance
 }
 
 // NewLimiter returns a limiter without customers that may use the whole quota.
-func NewLimiter() *Limiter {
-	return &Limiter{buckets: map[string]*bucket{}, peerUsed: map[string]map[string]float64{}, share: 1}
+func NewLimiter(tolerance Tolerance) *Limiter {
+	return &Limiter{buckets: map[string]*bucket{}, peerUsed: map[string]map[string]float64{}, share: 1, tolerance: tolerance}
 }
 
 // SetShare sets the share of each quota that this host and its live peers may use
@@ -147,7 +178,7 @@
 }
 
 // SetPropagationDelay sets the time until this host receives what peers use, beyond
-// the delay that quotas tolerate, and the number of live peers.
+// usualDelay, and the number of live peers.
 //
 // Load pattern: a customer sends several times its quota to ninety hosts, which
 // exchange digests every 0.8 s. When the bucket is empty, most hosts have not
@@ -158,17 +189,35 @@
 	l.propagationDelay, l.peerCount = delay, peers
 }
 
-// bucket returns the refilled bucket of a customer, and creates it if there is none.
-func (l *Limiter) bucket(c *catalog.Customer, now time.Duration) *bucket {
+// SetCustomers makes the limiter follow what peers use of these quotas, also before
+// this host has a request of the customer.
+//
+// Load pattern: a customer with a small quota sends requests to two hundred hosts. If
+// each host began to count at its first request, each would admit that one.
+func (l *Limiter) SetCustomers(customers []catalog.Customer, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range customers {
+		if customers[i].Rate > 0 {
+			l.bucket(&customers[i], now)
+		}
+	}
+}
+
+// bucket returns the refilled bucket of a customer, which it creates if there is
+// none, and an estimate of what peers have used and not reported yet.
+func (l *Limiter) bucket(c *catalog.Customer, now time.Duration) (*bucket, float64) {
+	atOnce := surge * c.Rate * (usualDelay + l.propagationDelay).Seconds()
+	overdraft := toleranceShare * max(l.tolerance.of(c)-atOnce, 0)
 	b := l.buckets[c.Name]
 	if b == nil {
-		b = &bucket{level: c.Burst * startLevel, refilledAt: now}
+		b = &bucket{level: c.Burst*startLevel - overdraft, refilledAt: now}
 		l.buckets[c.Name] = b
 	}
-	b.rate, b.burst = c.Rate, c.Burst
-	b.level = min(b.level, c.Burst)
+	b.rate, b.burst, b.overdraft = c.Rate, c.Burst, overdraft
+	unreported := b.unreportedUse(now, l.propagationDelay, l.peerCount)
 	b.refill(now, l.share)
-	return b
+	return b, unreported
 }
 
 // Take takes an amount of a customer's quota. When too little is left it returns
@@ -179,10 +228,9 @@
 	if c.Rate <= 0 {
 		return true, 0
 	}
-	b := l.bucket(c, now)
-	unreported := b.unreportedUse(now, l.propagationDelay, l.peerCount)
-	if b.level <= b.minLevel(amount, l.share)+unreported {
-		wait := time.Duration((unreported - b.level) / (b.rate * max(l.share, 0.01)) * float64(time.Second))
+	b, unreported := l.bucket(c, now)
+	if lowest := b.minLevel(amount, l.share) + unreported; b.level <= lowest {
+		wait := time.Duration((lowest - b.level) / (b.rate * max(l.share, 0.01)) * float64(time.Second))
 		return false, max(wait, minWait)
 	}
 	b.use(amount, now)
@@ -197,7 +245,8 @@
 	if c.Rate <= 0 {
 		return
 	}
-	l.bucket(c, now).use(amount, now)
+	b, _ := l.bucket(c, now)
+	b.use(amount, now)
 }
 
 // Refund returns an amount that Take took for a request that did not run.
@@ -208,7 +257,7 @@
 	if b == nil || c.Rate <= 0 {
 		return
 	}
-	b.level = min(b.level+amount, b.burst)
+	b.level += amount // the next refill bounds it
 	b.used -= amount
 }
 
