relay: fewer and stronger readers, and patience at the start

A reader has 64 hosts now, strong hosts read first, and a new host of a larger fleet waits up to a second for its reader. The test of the herd that restarts says so for ninety hosts, and as before for nine.

--- a/internal/gateway/relay/source.go
+++ b/internal/gateway/relay/source.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
@@ -13,7 +14,7 @@
 	// minReaders is the smallest number of readers, so that one may fail.
 	minReaders = 2
 	// hostsPerReader is the number of hosts for each reader in larger fleets.
-	hostsPerReader = 24
+	hostsPerReader = 64
 )
 
 // readerKey is the rendezvous hashing key that ranks hosts as readers.
@@ -30,6 +31,9 @@
 	// failedReaderPeriod is how long a reader that did not respond gets no
 	// requests.
 	failedReaderPeriod = 3 * time.Second
+	// startupPatience is how long a new host of a larger fleet waits for a view of
+	// its reader, which may be new itself.
+	startupPatience = time.Second
 )
 
 // Host is a gateway host that may be a reader.
@@ -38,6 +42,8 @@
 	Address, Zone string
 	// ViewAge is the age of the host's view.
 	ViewAge time.Duration
+	// Strength is what the host can carry: stronger hosts are readers first.
+	Strength float64
 }
 
 // Source is where a host gets its view from.
@@ -51,17 +57,20 @@
 // SourceSelector selects the source of a host's view. It is not safe for
 // concurrent use.
 type SourceSelector struct {
-	self, zone string
+	self       Host
 	avoidUntil map[string]time.Duration
 	readUntil  time.Duration
 	// following is set when the host got its view from a reader only.
 	following bool
+	// hadView is set once the host had a fresh view, and patientUntil is how long
+	// it waits for the first, 0 before it knows a reader.
+	hadView      bool
+	patientUntil time.Duration
 }
 
-// NewSourceSelector returns the selector of a host with an address and an
-// availability zone.
-func NewSourceSelector(self, zone string) *SourceSelector {
-	return &SourceSelector{self: self, zone: zone, avoidUntil: map[string]time.Duration{}}
+// NewSourceSelector returns the selector of a host.
+func NewSourceSelector(self Host) *SourceSelector {
+	return &SourceSelector{self: self, avoidUntil: map[string]time.Duration{}}
 }
 
 // MarkFailed records that a reader did not respond, so that Select avoids it for
@@ -87,24 +96,43 @@
 	}
 	reader := s.selectReader(peers, viewAge)
 	source := Source{Reader: reader, ReadsLog: reader == "" || viewAge > maxViewAge || now < s.readUntil}
+	if reader != "" && s.waitsForFirstView(len(peers), viewAge, now) {
+		return Source{Reader: reader}
+	}
 	s.following = !source.ReadsLog
 	return source
 }
 
+// waitsForFirstView reports whether a new host of a larger fleet waits for its
+// reader.
+//
+// Load pattern: two hundred hosts start at once, and each would read the log until
+// the readers have a view.
+func (s *SourceSelector) waitsForFirstView(peers int, viewAge, now time.Duration) bool {
+	s.hadView = s.hadView || viewAge <= maxViewAge
+	if s.hadView || peers < members.MaxMeshHosts {
+		return false
+	}
+	if s.patientUntil == 0 {
+		s.patientUntil = now + startupPatience
+	}
+	return now < s.patientUntil
+}
+
 // selectReader returns the reader to follow, preferably one in the same
 // availability zone, or "" if this host is a reader or all readers failed lately.
 func (s *SourceSelector) selectReader(peers []Host, viewAge time.Duration) string {
 	best, weight := "", uint64(0)
 	bestSameZone := false
 	for _, r := range s.readers(peers, viewAge) {
-		if r.Address == s.self {
+		if r.Address == s.self.Address {
 			return ""
 		}
 		if _, avoided := s.avoidUntil[r.Address]; avoided {
 			continue
 		}
-		sameZone := r.Zone == s.zone
-		w := rendezvous.Weight(s.self, r.Address)
+		sameZone := r.Zone == s.self.Zone
+		w := rendezvous.Weight(s.self.Address, r.Address)
 		if best == "" || sameZone && !bestSameZone || sameZone == bestSameZone && w > weight {
 			best, bestSameZone, weight = r.Address, sameZone, w
 		}
@@ -112,10 +140,12 @@
 	return best
 }
 
-// readers returns the hosts of the highest weights among those with a fresh view,
+// readers returns the highest ranked hosts among those with a fresh view,
 // or among all while no view is fresh.
 func (s *SourceSelector) readers(peers []Host, viewAge time.Duration) []Host {
-	all := append([]Host{{Address: s.self, Zone: s.zone, ViewAge: viewAge}}, peers...)
+	self := s.self
+	self.ViewAge = viewAge
+	all := append([]Host{self}, peers...)
 	var fresh []Host
 	for _, h := range all {
 		if h.ViewAge <= maxViewAge {
@@ -128,11 +158,15 @@
 	return highestRanked(fresh, max(minReaders, (len(fresh)+hostsPerReader-1)/hostsPerReader))
 }
 
-// highestRanked returns the hosts of the highest weights.
+// highestRanked returns the strongest hosts, among those alike the ones of the
+// highest weights.
 func highestRanked(hosts []Host, count int) []Host {
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b Host) int {
-		return cmp.Compare(rendezvous.Weight(readerKey, b.Address), rendezvous.Weight(readerKey, a.Address))
+		return cmp.Or(
+			cmp.Compare(b.Strength, a.Strength),
+			cmp.Compare(rendezvous.Weight(readerKey, b.Address), rendezvous.Weight(readerKey, a.Address)),
+		)
 	})
 	return ranked[:min(count, len(ranked))]
 }
