--- a/internal/gateway/capacity/capacity.go
+++ b/internal/gateway/capacity/capacity.go
@@ -154,7 +154,7 @@
 	}
 	running := 0
 	for _, u := range s.View.Members[service.Name] {
-		running += s.RemoteLoads[inflight.Hash(u.ID)].Requests
+		running += int(s.RemoteLoads[inflight.Hash(u.ID)].Requests)
 	}
 	m.add(tokens, float64(running), now)
 }
--- a/internal/gateway/capacity/capacity_test.go
+++ b/internal/gateway/capacity/capacity_test.go
@@ -114,13 +114,13 @@
 		}}}},
 		ListedAt: 1, Members: map[string][]*catalog.Member{}, Rollouts: c.rollouts,
 	}
-	remote := map[uint32]control.RemoteLoad{}
+	remote := map[uint32]members.LoadSum{}
 	for id, m := range c.present {
 		if c.now < c.listed[id] {
 			continue
 		}
 		if len(remote) == 0 {
-			remote[inflight.Hash(id)] = control.RemoteLoad{Requests: c.running}
+			remote[inflight.Hash(id)] = members.LoadSum{Requests: uint32(c.running)}
 		}
 		view.Members["s"] = append(view.Members["s"], m)
 	}
--- a/internal/gateway/cold/cold_test.go
+++ b/internal/gateway/cold/cold_test.go
@@ -23,7 +23,7 @@
 		names := make([]string, hosts)
 		for i := range names {
 			names[i] = fmt.Sprint("host-", i)
-			tables[i] = members.NewTable(names[i])
+			tables[i] = members.NewTable(members.Self{Address: names[i]})
 		}
 		const partitionedAt = time.Second
 		for i := range tables {
--- a/internal/gateway/control/control.go
+++ b/internal/gateway/control/control.go
@@ -14,21 +14,17 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/view"
 )
 
-// publishInterval is the pause between two snapshots; changes of the view and new
-// peers are published at once.
-const publishInterval = 50 * time.Millisecond
+// tickInterval is the pause between two checks for datagrams that are due, and in a
+// small fleet between two snapshots; publishInterval is that in a larger one. Changes
+// of the view and new peers are published at once.
+const (
+	tickInterval    = 50 * time.Millisecond
+	publishInterval = 100 * time.Millisecond
+)
 
 // inputQueueSize is the number of inputs that are queued before Submit blocks.
 const inputQueueSize = 256
 
-// RemoteLoad is the in-flight work of the peers at an upstream.
-type RemoteLoad struct {
-	// Tokens is the number of prompt tokens that the upstream has to read.
-	Requests, Tokens int
-	// Suspects is the number of peers to which the upstream does not respond.
-	Suspects int
-}
-
 // Snapshot is the control state of a host at one moment. It is immutable.
 type Snapshot struct {
 	View *catalog.View
@@ -40,7 +36,10 @@
 	// SenderCount is the number of these hosts, among which limits are divided.
 	SenderCount int
 	// RemoteLoads holds the work of live peers by the hash of the upstream's ID.
-	RemoteLoads map[uint32]RemoteLoad
+	RemoteLoads map[uint32]members.LoadSum
+	// PeerUse is what all other hosts used of customers' quotas, if peers do not
+	// tell it one by one.
+	PeerUse map[string]float64
 	// At is the boot time at which the snapshot was taken.
 	At time.Duration
 }
@@ -62,6 +61,17 @@
 // DigestReceived is an input to the loop: a digest of a peer.
 type DigestReceived struct{ Digest members.Digest }
 
+// SummaryReceived is an input to the loop: a summary of a hub.
+type SummaryReceived struct{ Summary *members.Summary }
+
+// Batch holds the datagrams that are due at a moment, and what they contain.
+type Batch struct {
+	Sends  []members.Outgoing
+	Digest *members.Digest
+	// Summaries holds the summaries by scope, as far as they are due.
+	Summaries map[members.Scope]*members.Summary
+}
+
 // AddressesFound is an input to the loop: addresses that may be those of hosts.
 type AddressesFound struct{ Addresses []string }
 
@@ -79,25 +89,29 @@
 	ViewChanged(change view.Change, requestedAt time.Duration)
 	// Published is called with each new snapshot.
 	Published(s *Snapshot)
+	// SummaryMerged is called with each summary of a hub.
+	SummaryMerged(s *members.Summary)
+	// Digest returns the digest of this host.
+	Digest() *members.Digest
 }
 
 // Loop owns the control state of a host.
 type Loop struct {
-	self, address string
-	builder       *view.Builder
-	table         *members.Table
-	inputs        chan any
-	snapshot      atomic.Pointer[Snapshot]
-	outgoing      chan []members.Outgoing
-	observer      Observer
+	self     string
+	builder  *view.Builder
+	table    *members.Table
+	inputs   chan any
+	snapshot atomic.Pointer[Snapshot]
+	outgoing chan Batch
+	observer Observer
 }
 
-// NewLoop returns the loop of the host self, which receives digests at an address.
-// It publishes an empty first snapshot.
-func NewLoop(self, address string, observer Observer) *Loop {
+// NewLoop returns the loop of the host that is named name. It publishes an empty
+// first snapshot.
+func NewLoop(name string, self members.Self, observer Observer) *Loop {
 	l := &Loop{
-		self: self, address: address, builder: view.NewBuilder(), table: members.NewTable(address),
-		inputs: make(chan any, inputQueueSize), outgoing: make(chan []members.Outgoing, 1), observer: observer,
+		self: name, builder: view.NewBuilder(), table: members.NewTable(self),
+		inputs: make(chan any, inputQueueSize), outgoing: make(chan Batch, 1), observer: observer,
 	}
 	l.publish(boottime.Now())
 	return l
@@ -108,7 +122,7 @@
 
 // Outgoing returns the channel of digests that are due. No batch is added while
 // one is pending.
-func (l *Loop) Outgoing() <-chan []members.Outgoing { return l.outgoing }
+func (l *Loop) Outgoing() <-chan Batch { return l.outgoing }
 
 // Submit passes an input to the loop: OperatorRead, UpstreamsRead, DigestReceived or
 // AddressesFound. It blocks while the queue is full, until the context ends.
@@ -121,8 +135,8 @@
 
 // Run applies inputs and publishes snapshots until the context ends.
 func (l *Loop) Run(ctx context.Context) {
-	publish := time.NewTicker(publishInterval)
-	defer publish.Stop()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -131,9 +145,13 @@
 			if l.apply(input) {
 				l.publish(boottime.Now())
 			}
-		case <-publish.C:
-			l.publish(boottime.Now())
-			l.offerOutgoing(boottime.Now())
+		case <-tick.C:
+			now := boottime.Now()
+			last := l.Snapshot()
+			if len(last.Peers) < members.MaxMeshHosts || now-last.At >= publishInterval-tickInterval/2 {
+				l.publish(now)
+			}
+			l.offerOutgoing(now)
 		}
 	}
 }
@@ -144,9 +162,18 @@
 	if len(l.outgoing) > 0 {
 		return
 	}
-	if due := l.table.Due(now); len(due) > 0 {
-		l.outgoing <- due
+	due := l.table.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	batch := Batch{Sends: due, Digest: l.observer.Digest(), Summaries: map[members.Scope]*members.Summary{}}
+	l.table.RecordOwn(batch.Digest, now)
+	for _, send := range due {
+		if send.Scope != members.NoScope && batch.Summaries[send.Scope] == nil {
+			batch.Summaries[send.Scope] = l.table.Summary(send.Scope, batch.Digest, now)
+		}
 	}
+	l.outgoing <- batch
 }
 
 // apply applies an input and reports whether it must be published at once.
@@ -168,6 +195,13 @@
 			l.observer.PeerUp(in.Digest)
 			return true
 		}
+	case SummaryReceived:
+		up := l.table.ReceiveSummary(in.Summary, now)
+		for _, d := range up {
+			l.observer.PeerUp(d)
+		}
+		l.observer.SummaryMerged(in.Summary)
+		return len(up) > 0
 	case AddressesFound:
 		l.table.AddAddresses(in.Addresses, now)
 	}
@@ -183,22 +217,9 @@
 func (l *Loop) publish(now time.Duration) {
 	hosts := append(l.table.SenderNames(now), l.self)
 	s := &Snapshot{
-		View: l.builder.View(), Peers: l.table.Live(now), RemoteLoads: map[uint32]RemoteLoad{},
+		View: l.builder.View(), Peers: l.table.Live(now), RemoteLoads: l.table.RemoteLoads(now), PeerUse: l.table.PeerUse(),
 		SenderNames: hosts, SenderCount: len(hosts), At: now,
 	}
-	for _, peer := range s.Peers {
-		for _, f := range peer.InFlight {
-			r := s.RemoteLoads[f.Upstream]
-			r.Requests += int(f.Requests)
-			r.Tokens += int(f.Tokens)
-			s.RemoteLoads[f.Upstream] = r
-		}
-		for _, suspect := range peer.Suspects {
-			r := s.RemoteLoads[suspect]
-			r.Suspects++
-			s.RemoteLoads[suspect] = r
-		}
-	}
 	l.snapshot.Store(s)
 	if l.observer != nil {
 		l.observer.Published(s)
--- a/internal/gateway/control/control_test.go
+++ b/internal/gateway/control/control_test.go
@@ -23,11 +23,13 @@
 func (observer) PeerUp(members.Digest)                          {}
 func (observer) ViewChanged(view.Change, time.Duration)         {}
 func (observer) Published(*control.Snapshot)                    {}
+func (observer) SummaryMerged(*members.Summary)                 {}
+func (observer) Digest() *members.Digest                        { return &members.Digest{} }
 
 // Scenario: a network partition divides the hosts; each side may send to the
 // same upstreams.
 func TestSilentHostsCountAsSenders(t *testing.T) {
-	loop := control.NewLoop("self", "10.0.0.1:7600", observer{})
+	loop := control.NewLoop("self", members.Self{Address: "10.0.0.1:7600"}, observer{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go loop.Run(ctx)
--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -16,7 +16,6 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/rollout"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/usage"
-	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
 // Where the ledger is stored in the log.
@@ -27,8 +26,10 @@
 
 // Timing of the duties.
 const (
-	// stepInterval is the pause between two calls of Step.
-	stepInterval = 100 * time.Millisecond
+	// stepInterval is the pause between two calls of Step by the holder, and
+	// watchInterval that by other hosts.
+	stepInterval  = 100 * time.Millisecond
+	watchInterval = 200 * time.Millisecond
 	// checkpointInterval is the longest pause between two ledger writes by the
 	// holder. Counts that are not written are lost when all hosts end together.
 	checkpointInterval = 250 * time.Millisecond
@@ -93,7 +94,9 @@
 
 // Deps are the dependencies of a driver.
 type Deps struct {
-	Host        string
+	Host string
+	// Strength is what this host can carry compared with others.
+	Strength    float64
 	Incarnation uint64
 	Log         topic.Keyed
 	// Cloud is nil where the deployment has no duties.
@@ -194,15 +197,20 @@
 	if d.Cloud == nil {
 		return
 	}
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(stepInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			d.Step(ctx)
+		case <-timer.C:
 		}
+		d.Step(ctx)
+		pause := watchInterval
+		if d.held {
+			pause = stepInterval
+		}
+		timer.Reset(pause)
 	}
 }
 
@@ -245,13 +253,7 @@
 
 // rank returns how many ready hosts precede this one in the order of claims.
 func (d *Driver) rank(s *control.Snapshot) int {
-	var others []string
-	for _, p := range s.Peers {
-		if !p.Stopping && p.Ready {
-			others = append(others, p.Host)
-		}
-	}
-	return rendezvous.Rank(members.DutyKey, d.Host, others)
+	return members.DutyRank(d.Host, d.Strength, s.Peers)
 }
 
 // collectCounts keeps the counts of this host and of its peers' digests, so that they
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +17,6 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/usage"
-	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
 const (
@@ -238,13 +236,13 @@
 
 // claimOrder returns the indexes of the hosts in the order in which they claim.
 func (sim *simulation) claimOrder() []int {
-	names := make([]string, len(sim.hosts))
-	for i, h := range sim.hosts {
-		names[i] = h.name
+	var peers []*members.Peer
+	for _, h := range sim.hosts {
+		peers = append(peers, &members.Peer{Digest: members.Digest{Host: h.name, Ready: true}})
 	}
-	var order []int
-	for _, name := range rendezvous.Order(members.DutyKey, names) {
-		order = append(order, slices.Index(names, name))
+	order := make([]int, len(sim.hosts))
+	for i, h := range sim.hosts {
+		order[members.DutyRank(h.name, 0, peers)] = i
 	}
 	return order
 }
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -9,6 +9,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 )
 
@@ -22,11 +23,16 @@
 	upstreamReadInterval = 700 * time.Millisecond
 	// roleCheckInterval is the pause between two checks whether this host is to
 	// read the log.
-	roleCheckInterval = 100 * time.Millisecond
+	roleCheckInterval = 200 * time.Millisecond
 	// minReadBackoff is the pause after the first failed read.
 	minReadBackoff = 150 * time.Millisecond
 	// maxReadBackoff bounds the pause after consecutive failed reads.
 	maxReadBackoff = 600 * time.Millisecond
+	// maxDiscoveryWait bounds the time for which a new host waits for its peers
+	// before it reads the log, and peerCheckInterval is the pause between two
+	// checks. In a small fleet it waits only until it knows their addresses.
+	maxDiscoveryWait  = 400 * time.Millisecond
+	peerCheckInterval = 10 * time.Millisecond
 	// retryPauseStep is the pause per host of the fleet between two reads by a
 	// follower whose reads fail.
 	retryPauseStep = 15 * time.Millisecond
@@ -118,7 +124,8 @@
 // follow reads the log through a reader while there is one, so that few hosts
 // read it directly.
 func (g *Gateway) follow(ctx context.Context) {
-	selector := relay.NewSourceSelector(g.peerAddress, g.options.AvailabilityZone)
+	g.awaitPeers(ctx)
+	selector := relay.NewSourceSelector(relay.Host{Address: g.peerAddress, Zone: g.options.AvailabilityZone, Strength: g.options.Strength})
 	client := relay.NewClient()
 	lost := map[string]bool{}
 	for ctx.Err() == nil {
@@ -150,6 +157,20 @@
 	}
 }
 
+// awaitPeers waits until this host has heard of most other hosts, so that a new host
+// of a larger fleet follows a reader from the start, but not for long: there may be
+// no other hosts.
+func (g *Gateway) awaitPeers(ctx context.Context) {
+	start := boottime.Now()
+	for ctx.Err() == nil && boottime.Now()-start < maxDiscoveryWait {
+		found := g.discovered.Load()
+		if found != nil && (*found < members.MaxMeshHosts || len(g.loop.Snapshot().Peers) >= *found/2) {
+			return
+		}
+		sleep(ctx, peerCheckInterval)
+	}
+}
+
 // viewAge returns the age of the older part of this host's view: the
 // configuration or the list of upstreams.
 func (g *Gateway) viewAge(now time.Duration) time.Duration {
@@ -163,7 +184,7 @@
 	hosts := make([]relay.Host, 0, len(s.Peers))
 	for _, p := range s.Peers {
 		if !p.Stopping {
-			hosts = append(hosts, relay.Host{Address: p.PeerAddress, Zone: p.Zone, ViewAge: p.ViewAge})
+			hosts = append(hosts, relay.Host{Address: p.PeerAddress, Zone: p.Zone, ViewAge: p.ViewAge, Strength: p.Extension.Strength})
 		}
 	}
 	return hosts
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -7,8 +7,8 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
-	"github.com/marigoldmux/marigoldmux/internal/gateway/control"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/inflight"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/place"
 )
 
@@ -182,11 +182,11 @@
 // for this host to suspect it without a failure of its own.
 const minRemoteSuspects = 2
 
-func (p *proxyRequest) candidate(m *catalog.Member, remote control.RemoteLoad, now time.Duration) place.Candidate {
+func (p *proxyRequest) candidate(m *catalog.Member, remote members.LoadSum, now time.Duration) place.Candidate {
 	own := p.h.InFlight.State(m.ID, now)
 	return place.Candidate{
 		ID: m.ID, Zone: m.Zone, Slots: m.Slots,
-		Requests: own.Requests + remote.Requests, Tokens: own.Tokens + remote.Tokens,
+		Requests: own.Requests + int(remote.Requests), Tokens: own.Tokens + int(remote.Tokens),
 		ExtraLatency: own.ExtraLatency, Failures: own.Failures, Suspect: own.Suspect || remote.Suspects >= minRemoteSuspects,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,9 @@
 	// updates applies what this host read from the log or through a reader, a
 	// peer that reads the log for others.
 	updates *updateApplier
+	// discovered is the number of addresses of other hosts that were found, nil
+	// before the first search.
+	discovered atomic.Pointer[int]
 	// source is where this host reads the log: directly or through a reader.
 	source atomic.Pointer[relay.Source]
 
@@ -147,15 +150,15 @@
 		options: o, ports: ports, events: events, sink: sink,
 		incarnation: rand.Uint64()>>12 | 1, startedAt: boottime.Now(),
 		peerAddress: net.JoinHostPort(o.Address, strconv.Itoa(o.PeerPort)),
-		pool:        upconn.NewPool(), quota: quota.NewLimiter(), cold: cold.NewLimiter(o.Host, boottime.Now()),
+		pool:        upconn.NewPool(), quota: quota.NewLimiter(o.QuotaTolerance.Limits()), cold: cold.NewLimiter(o.Host, boottime.Now()),
 		retry: retry.NewBudget(retry.Limit{
 			Ratio: o.RetryBudget.Ratio, Slack: o.RetryBudget.Slack, Window: o.RetryBudget.Window.D(),
 		}),
 		poison: poison.NewTable(), advisories: advisory.NewTable(),
 		usage: usage.NewCounter(o.UsageWindow.D()), stats: &forward.Stats{}, peerSequences: map[uint64]uint64{},
 	}
-	g.source.Store(&relay.Source{ReadsLog: true})
-	g.loop = control.NewLoop(o.Host, g.peerAddress, g)
+	g.source.Store(&relay.Source{})
+	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, g)
 	g.inFlight = inflight.NewTracker(g.remoteTokens)
 	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit}
 	g.forward = forward.New(forward.Deps{
@@ -164,7 +167,7 @@
 		VersionShares: g, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
 	})
 	g.duties = duty.NewDriver(duty.Deps{
-		Host: o.Host, Incarnation: g.incarnation, Log: ports.Feed, Cloud: ports.Cloud, Snapshots: g.loop,
+		Host: o.Host, Strength: o.Strength, Incarnation: g.incarnation, Log: ports.Feed, Cloud: ports.Cloud, Snapshots: g.loop,
 		Usage: g.usage, Planner: capacity.NewPlanner(g.inFlight), Stats: g.inFlight, RolloutReporter: ports.Feed, Events: events, Lease: o.DutyLease.D(),
 	})
 	return g
@@ -173,7 +176,7 @@
 // remoteTokens returns the prompt tokens of peers' requests that an upstream
 // has yet to read.
 func (g *Gateway) remoteTokens(upstream string) int {
-	return g.loop.Snapshot().RemoteLoads[inflight.Hash(upstream)].Tokens
+	return int(g.loop.Snapshot().RemoteLoads[inflight.Hash(upstream)].Tokens)
 }
 
 // Run runs the gateway until the stop channel is closed, and then stops it
@@ -263,6 +266,7 @@
 
 // ConfigChanged implements control.Observer.
 func (g *Gateway) ConfigChanged(doc *catalog.Document, requestedAt time.Duration) {
+	g.quota.SetCustomers(doc.Customers, boottime.Now())
 	g.events.Emit(eventConfigured, zap.Int64("version", doc.Version), zap.Duration("age", boottime.Now()-requestedAt),
 		zap.Int("routes", len(doc.Routes)), zap.Int("customers", len(doc.Customers)))
 }
@@ -294,10 +298,25 @@
 		g.peerSequences[p.Incarnation] = p.Sequence
 		g.poison.MergePeer(p.Crashes, p.Cleared, now)
 		g.advisories.MergePeer(p.Extension.Leaving, now)
-		g.quota.RecordPeerUsage(strconv.FormatUint(p.Incarnation, 36), p.QuotaUsed, now-g.startedAt > startupWindow, now)
+		if s.PeerUse == nil {
+			g.quota.RecordPeerUsage(strconv.FormatUint(p.Incarnation, 36), p.QuotaUsed, now-g.startedAt > startupWindow, now)
+		}
+	}
+	if s.PeerUse != nil {
+		g.quota.RecordPeerUsage(fleetProcess, s.PeerUse, false, now)
 	}
 }
 
+// fleetProcess stands for all other hosts of a fleet whose use of quotas is summed up.
+const fleetProcess = "fleet"
+
+// SummaryMerged implements control.Observer.
+func (g *Gateway) SummaryMerged(s *members.Summary) {
+	now := boottime.Now()
+	g.poison.MergePeer(s.Crashes, s.Cleared, now)
+	g.advisories.MergePeer(s.Leaving, now)
+}
+
 // updateVersionShares stores the rollout shares set by the holder of the
 // duties. While there is no holder, the latest shares remain.
 func (g *Gateway) updateVersionShares(s *control.Snapshot) {
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -112,9 +112,18 @@
 type Extension struct {
 	// Leaving are the instances of upstreams that told the host that they leave.
 	Leaving []advisory.Instance `msgpack:"leaving,omitempty"`
+	// Tree is set when the host understands summaries.
+	Tree bool `msgpack:"tree,omitempty"`
+	// Strength is what the host can carry, in any unit: stronger hosts become hubs
+	// and readers first.
+	Strength float64 `msgpack:"strength,omitempty"`
+	// Uptime is the time since the process began to use quotas.
+	Uptime time.Duration `msgpack:"up,omitempty"`
 }
 
-func (e Extension) empty() bool { return len(e.Leaving) == 0 }
+func (e Extension) empty() bool {
+	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0
+}
 
 // Trim returns a copy of the digest reduced to a level of detail.
 func (d Digest) Trim(detail Detail) *Digest {
@@ -124,7 +133,7 @@
 	}
 	if detail < Load {
 		d.InFlight, d.Suspects, d.QuotaUsed = nil, nil, nil
-		d.Crashes, d.Cleared, d.Extension = nil, nil, Extension{}
+		d.Crashes, d.Cleared, d.Extension.Leaving = nil, nil, nil
 	}
 	return &d
 }
@@ -138,7 +147,7 @@
 	}
 	if d.Detail < Load {
 		d.InFlight, d.Suspects, d.QuotaUsed = previous.InFlight, previous.Suspects, previous.QuotaUsed
-		d.Crashes, d.Cleared, d.Extension = previous.Crashes, previous.Cleared, previous.Extension
+		d.Crashes, d.Cleared, d.Extension.Leaving = previous.Crashes, previous.Cleared, previous.Extension.Leaving
 	}
 	return d
 }
--- a/internal/gateway/members/fleet_test.go
+++ b/internal/gateway/members/fleet_test.go
@@ -35,7 +35,7 @@
 // second, including IP and UDP headers.
 func traffic(t testing.TB, hosts int) (bytes, datagrams float64) {
 	const headers, seconds = 28, 10
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	start := time.Second
 	for i := range hosts - 1 {
 		table.Receive(busyDigest(fmt.Sprintf("10.0.%d.%d:7600", i/200, i%200)), start)
@@ -71,7 +71,7 @@
 	for _, hosts := range []int{9, 30, 91, 300} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			bytes, datagrams := traffic(b, hosts)
-			table := members.NewTable("self")
+			table := members.NewTable(members.Self{Address: "self"})
 			for i := range hosts - 1 {
 				table.Receive(busyDigest(fmt.Sprintf("10.0.%d.%d:7600", i/200, i%200)), time.Second)
 			}
--- a/internal/gateway/members/members.go
+++ b/internal/gateway/members/members.go
@@ -1,8 +1,16 @@
 // Package members keeps track of the live gateway hosts by the digests that hosts
 // send to each other. It does no I/O.
+//
+// In a small fleet each host sends full digests to each other host. In a larger one
+// the hosts form a tree: the hosts of an availability zone send digests to the hubs
+// of the zone, which send sums of them to the hubs of other zones, and sums over the
+// fleet to the hosts of their zone. What a host sends and receives then does not
+// grow with the fleet, and neither does the time in which a host is missed.
 package members
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -11,7 +19,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
 
-// Timing of liveness in a small fleet.
+// Timing of liveness.
 const (
 	// digestInterval is the time between two digests to a peer.
 	digestInterval = 200 * time.Millisecond
@@ -30,99 +38,167 @@
 	sendTolerance = 25 * time.Millisecond
 )
 
-// In larger fleets hosts send less, and less often, to spare the links of small
-// hosts.
+// Hosts of former builds know no tree. In a larger fleet they get digests from all
+// hosts, but less, and less often.
 const (
-	// maxFullDigestHosts is the largest number of hosts at which all peers get full
-	// digests.
-	maxFullDigestHosts = 16
 	// For each hostsPerHeartbeatInterval or hostsPerLoadInterval hosts, the time
 	// between two digests or two digests with the load grows by digestInterval.
 	hostsPerHeartbeatInterval = 64
 	hostsPerLoadInterval      = 24
-	// dutyCandidates is the number of hosts that get full digests besides the
-	// holder of the duties, since they may take over the duties.
-	dutyCandidates = 3
 )
 
-// DutyKey is the rendezvous hashing key that ranks hosts for the duties.
-const DutyKey = "duty"
+// dutyCandidates is the number of hosts that get full digests besides the holder of
+// the duties, since they may take over the duties.
+const dutyCandidates = 3
+
+// dutyKey is the rendezvous hashing key that ranks hosts of the same strength for
+// the duties.
+const dutyKey = "duty"
 
-// heartbeatInterval returns the time between two digests to a peer.
+// heartbeatInterval returns the time between two digests to a peer without a tree.
 func heartbeatInterval(hosts int) time.Duration {
 	return digestInterval * time.Duration(1+(hosts-1)/hostsPerHeartbeatInterval)
 }
 
-// loadInterval returns the time between two digests with the load to a peer.
+// loadInterval returns the time between two digests with the load to a peer without
+// a tree.
 func loadInterval(hosts int) time.Duration {
 	return digestInterval * time.Duration(1+(hosts-1)/hostsPerLoadInterval)
 }
 
-// PropagationDelay returns how much later the load of a host reaches its peers
-// than in a small fleet.
-func PropagationDelay(hosts int) time.Duration { return loadInterval(hosts) - digestInterval }
-
-// deadAfter returns the time without a digest after which a host counts as down.
+// deadAfter returns the time without a digest of a peer without a tree after which
+// it counts as down.
 func deadAfter(hosts int) time.Duration { return deadIntervals * heartbeatInterval(hosts) }
 
 // Peer is another host.
-type Peer struct {
-	Digest
-	// ReceivedAt is the boot time at which the last digest was received.
-	ReceivedAt time.Duration
-}
+type Peer struct{ Digest }
 
+// contact is the address of a host that may be alive.
 type contact struct {
 	addedAt time.Duration
-	// sentAt and loadAt are when a digest, and one with the load, was last sent.
-	sentAt, loadAt time.Duration
+	// heardAt is when the host last showed to be alive, by a digest or in a
+	// summary, and directAt when its last digest was received; 0 if never.
+	heardAt, directAt time.Duration
+	// directSequence is the sequence number of the last digest.
+	directSequence uint64
+	// shownAt is when a summary last listed the host.
+	shownAt time.Duration
+	// aliveUntil is the time from which the host counts as down.
+	aliveUntil time.Duration
+	// changedAt is when a new process was first seen.
+	changedAt time.Duration
+	// sentAt, loadAt and fullAt are when a digest, one with the load, and a full one
+	// was last sent, and summaryAt when a summary was.
+	sentAt, loadAt, fullAt, summaryAt time.Duration
 	// contacted is set when a digest was sent before.
 	contacted bool
+	// hubWeight ranks the host among the hosts of its zone.
+	hubWeight uint64
+}
+
+// markAlive records that the host showed to be alive and counts as such for a time.
+func (c *contact) markAlive(now, lasts time.Duration) {
+	c.heardAt = now
+	c.aliveUntil = max(c.aliveUntil, now+lasts)
 }
 
-// Outgoing is a digest that is due.
+// silence returns the time since the host last showed to be alive.
+func (c *contact) silence(now time.Duration) time.Duration { return now - max(c.heardAt, c.addedAt) }
+
+// Outgoing is a datagram that is due: a summary if Scope is set, else a digest.
 type Outgoing struct {
 	Address string
 	Detail  Detail
+	Scope   Scope
+}
+
+// Self is the host that owns a table.
+type Self struct {
+	// Address is the host's address for digests.
+	Address, Zone string
+	Strength      float64
 }
 
 // Table holds the known hosts. It is not safe for concurrent use.
 type Table struct {
-	self     string
+	self     Self
 	peers    map[string]*Peer
 	contacts map[string]*contact
+	// order holds the addresses of contacts, sorted, and addressOf the address of
+	// each HostID.
+	order     []string
+	addressOf map[uint32]string
+	tree      tree
 }
 
-// NewTable returns the table of a host with an address for digests.
-func NewTable(self string) *Table {
-	return &Table{self: self, peers: map[string]*Peer{}, contacts: map[string]*contact{}}
+// NewTable returns the table of a host.
+func NewTable(self Self) *Table {
+	return &Table{
+		self: self, peers: map[string]*Peer{}, contacts: map[string]*contact{}, addressOf: map[uint32]string{},
+		tree: newTree(),
+	}
 }
 
 // AddAddresses adds addresses of possible hosts, which then get digests.
 func (t *Table) AddAddresses(addresses []string, now time.Duration) {
 	for _, address := range addresses {
-		if address != t.self && t.contacts[address] == nil {
-			t.contacts[address] = &contact{addedAt: now}
+		if address == t.self.Address || t.contacts[address] != nil {
+			continue
 		}
+		t.contacts[address] = &contact{addedAt: now}
+		t.addressOf[HostID(address)] = address
+		at, _ := slices.BinarySearch(t.order, address)
+		t.order = slices.Insert(t.order, at, address)
+	}
+}
+
+// drop forgets a host.
+func (t *Table) drop(address string) {
+	delete(t.contacts, address)
+	delete(t.peers, address)
+	delete(t.addressOf, HostID(address))
+	if at, found := slices.BinarySearch(t.order, address); found {
+		t.order = slices.Delete(t.order, at, at+1)
 	}
 }
 
 // Receive merges a digest. It reports whether the host was unknown, restarted or
 // down. Digests of this host and outdated ones are ignored.
 func (t *Table) Receive(d Digest, now time.Duration) bool {
-	if d.PeerAddress == t.self || d.PeerAddress == "" {
+	if d.PeerAddress == t.self.Address || d.PeerAddress == "" {
 		return false
 	}
-	old := t.peers[d.PeerAddress]
-	if old != nil && old.Incarnation == d.Incarnation && old.Sequence >= d.Sequence {
+	// A summary may bring a heartbeat of the same sequence number first.
+	old, before := t.peers[d.PeerAddress], t.contacts[d.PeerAddress]
+	if old != nil && old.Incarnation == d.Incarnation && (old.Sequence > d.Sequence || before.directSequence >= d.Sequence) {
 		return false
 	}
+	c := t.merge(d, now)
+	up := old == nil || old.Incarnation != d.Incarnation || now > c.aliveUntil
+	c.directAt, c.directSequence = now, d.Sequence
+	delete(t.tree.failedHubs, d.PeerAddress)
+	lasts := deadIntervals * digestInterval
+	if !d.Extension.Tree {
+		lasts = deadAfter(t.fleetSize())
+	}
+	c.markAlive(now, lasts)
+	t.countUse(t.peers[d.PeerAddress], now)
+	return up
+}
+
+// merge stores a digest that is newer than the last one of the host.
+func (t *Table) merge(d Digest, now time.Duration) *contact {
 	t.AddAddresses([]string{d.PeerAddress}, now)
+	c := t.contacts[d.PeerAddress]
+	old := t.peers[d.PeerAddress]
 	if old != nil && old.Incarnation == d.Incarnation {
 		d = d.withMissingFrom(&old.Digest)
+	} else {
+		c.changedAt, c.directAt, c.directSequence = now, 0, 0
+		c.hubWeight = rendezvous.Weight(hubKey, d.PeerAddress)
 	}
-	t.peers[d.PeerAddress] = &Peer{Digest: d, ReceivedAt: now}
-	return old == nil || old.Incarnation != d.Incarnation || now-old.ReceivedAt > deadAfter(t.fleetSize())
+	t.peers[d.PeerAddress] = &Peer{Digest: d}
+	return c
 }
 
 // fleetSize returns the number of known hosts, this one included.
@@ -130,107 +206,132 @@
 
 // Live returns the hosts that are not down, sorted by address.
 func (t *Table) Live(now time.Duration) []*Peer {
-	dead := deadAfter(t.fleetSize())
 	var live []*Peer
-	for _, p := range t.peers {
-		if now-p.ReceivedAt <= dead {
+	for _, address := range t.order {
+		if p := t.peers[address]; p != nil && now <= t.contacts[address].aliveUntil {
 			live = append(live, p)
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].PeerAddress < live[j].PeerAddress })
 	return live
 }
 
 // SenderCount returns the number of other hosts that may hold a share of a limit:
-// all that sent a digest within forgetAfter and have not left.
+// all that showed to be alive within forgetAfter and have not left.
 func (t *Table) SenderCount(now time.Duration) int { return len(t.SenderNames(now)) }
 
 // SenderNames returns the names of the hosts that SenderCount counts.
 func (t *Table) SenderNames(now time.Duration) []string {
 	var names []string
-	for _, p := range t.peers {
-		silence := now - p.ReceivedAt
-		left := p.Stopping && silence > deadAfter(t.fleetSize())
-		if silence <= forgetAfter && !left {
+	for address, p := range t.peers {
+		c := t.contacts[address]
+		left := p.Stopping && now > c.aliveUntil
+		if c.silence(now) <= forgetAfter && !left {
 			names = append(names, p.Host)
 		}
 	}
 	return names
 }
 
-// Due returns the digests to send now and records them as sent. It drops hosts
-// that have sent no digest for probeDuration.
-//
-// Load pattern: ninety hosts with links of 10 Mbit/s, of which full digests
-// between all hosts at short intervals would take the larger part.
+// Due returns the datagrams to send now and records them as sent. It drops hosts
+// that have not shown to be alive for probeDuration.
 func (t *Table) Due(now time.Duration) []Outgoing {
-	hosts := t.fleetSize()
-	full := t.fullDigestPeers()
+	large := t.large()
+	t.updatePlace(now)
+	full := t.tree.full
 	var due []Outgoing
-	for address, c := range t.contacts {
-		receivedAt := c.addedAt
-		if p := t.peers[address]; p != nil {
-			receivedAt = p.ReceivedAt
-		}
-		silence := now - receivedAt
-		if silence > probeDuration {
-			delete(t.contacts, address)
-			delete(t.peers, address)
+	for _, address := range slices.Clone(t.order) {
+		c := t.contacts[address]
+		if c.silence(now) > probeDuration {
+			t.drop(address)
 			continue
 		}
-		pause := heartbeatInterval(hosts)
-		if silence > forgetAfter {
-			pause = max(pause, probeInterval)
-		}
-		if c.contacted && now-c.sentAt < pause-sendTolerance {
+		if p := t.peers[address]; large && c.contacted && (p == nil || p.Extension.Tree) {
+			due = t.appendTreeDue(due, address, c, full[address], now)
 			continue
 		}
-		detail := Heartbeat
-		if !c.contacted || now-c.loadAt >= loadInterval(hosts)-sendTolerance {
-			detail, c.loadAt = Load, now
-		}
-		if detail == Load && (hosts <= maxFullDigestHosts || full[address]) {
-			detail = Full
+		if detail, isDue := t.meshDue(address, c, full, now); isDue {
+			due = append(due, Outgoing{Address: address, Detail: detail})
 		}
-		c.sentAt = now
-		if !c.contacted {
-			c.contacted = true
-			c.sentAt -= phase(address, hosts)
-		}
-		due = append(due, Outgoing{Address: address, Detail: detail})
 	}
-	sort.Slice(due, func(i, j int) bool { return due[i].Address < due[j].Address })
+	sort.SliceStable(due, func(i, j int) bool { return due[i].Address < due[j].Address })
 	return due
 }
 
+// meshDue reports whether a host without a tree gets a digest now, and which.
+//
+// Load pattern: ninety hosts with links of 10 Mbit/s, of which full digests
+// between all hosts at short intervals would take the larger part.
+func (t *Table) meshDue(address string, c *contact, full map[string]bool, now time.Duration) (Detail, bool) {
+	hosts := t.fleetSize()
+	pause := heartbeatInterval(hosts)
+	if c.silence(now) > forgetAfter {
+		pause = max(pause, probeInterval)
+	}
+	if c.contacted && now-c.sentAt < pause-sendTolerance {
+		return 0, false
+	}
+	detail := Heartbeat
+	if !c.contacted || now-c.loadAt >= loadInterval(hosts)-sendTolerance {
+		detail, c.loadAt = Load, now
+	}
+	if detail == Load && (!t.large() || full[address]) {
+		detail = Full
+	}
+	c.sentAt = now
+	if !c.contacted {
+		c.contacted = true
+		c.sentAt -= phase(address, hosts)
+	}
+	return detail, true
+}
+
 // phase spreads the digests of a larger fleet over the interval between them.
 func phase(address string, hosts int) time.Duration {
-	if hosts <= maxFullDigestHosts {
+	if hosts <= MaxMeshHosts {
 		return 0
 	}
 	return time.Duration(xxhash.Sum64String(address) % uint64(heartbeatInterval(hosts)))
 }
 
 // fullDigestPeers returns the addresses of the peers that hold the duties or are
-// the next candidates for them; nil if all peers get full digests.
+// the next candidates for them.
 func (t *Table) fullDigestPeers() map[string]bool {
-	if t.fleetSize() <= maxFullDigestHosts {
-		return nil
-	}
 	full := map[string]bool{}
-	addressOf := make(map[string]string, len(t.peers))
-	names := make([]string, 0, len(t.peers))
+	var candidates []*Peer
 	for address, p := range t.peers {
 		if p.LedgerToken > 0 {
 			full[address] = true
 		}
 		if p.Ready && !p.Stopping {
-			addressOf[p.Host] = address
-			names = append(names, p.Host)
+			candidates = append(candidates, p)
 		}
 	}
-	for _, name := range rendezvous.Order(DutyKey, names)[:min(dutyCandidates, len(names))] {
-		full[addressOf[name]] = true
+	slices.SortFunc(candidates, func(a, b *Peer) int {
+		return compareForDuties(a.Host, a.Extension.Strength, b.Host, b.Extension.Strength)
+	})
+	for _, p := range candidates[:min(dutyCandidates, len(candidates))] {
+		full[p.PeerAddress] = true
 	}
 	return full
 }
+
+// compareForDuties orders hosts by how soon they claim the duties: stronger ones
+// first, since their holder hears of all hosts.
+func compareForDuties(a string, strengthA float64, b string, strengthB float64) int {
+	return cmp.Or(
+		cmp.Compare(strengthB, strengthA), cmp.Compare(rendezvous.Weight(dutyKey, b), rendezvous.Weight(dutyKey, a)),
+		cmp.Compare(a, b),
+	)
+}
+
+// DutyRank returns how many of the peers that can hold the duties precede a host in
+// the order of claims.
+func DutyRank(host string, strength float64, peers []*Peer) int {
+	rank := 0
+	for _, p := range peers {
+		if p.Ready && !p.Stopping && compareForDuties(p.Host, p.Extension.Strength, host, strength) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/gateway/members/members_test.go
+++ b/internal/gateway/members/members_test.go
@@ -16,7 +16,7 @@
 }
 
 func TestHostsAreLiveWhileTheySendDigests(t *testing.T) {
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	require.True(t, table.Receive(digest("a", 1, 1), time.Second))
 	require.False(t, table.Receive(digest("a", 1, 2), 1200*time.Millisecond))
 	require.Len(t, table.Live(2*time.Second), 1)
@@ -27,7 +27,7 @@
 }
 
 func TestLeavingHostHoldsNoShare(t *testing.T) {
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	d := digest("a", 1, 1)
 	d.Stopping = true
 	table.Receive(d, time.Second)
@@ -36,7 +36,7 @@
 }
 
 func TestOldDigestsAndOwnOnesAreIgnored(t *testing.T) {
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	table.Receive(digest("a", 1, 5), time.Second)
 	require.False(t, table.Receive(digest("a", 1, 4), 5*time.Second))
 	require.Empty(t, table.Live(5*time.Second), "an old digest does not revive a host")
@@ -52,7 +52,7 @@
 }
 
 func TestSilentHostsAreProbedAndForgotten(t *testing.T) {
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	table.AddAddresses([]string{"a", "self", "b"}, 0)
 	table.Receive(digest("a", 1, 1), time.Second)
 	require.Equal(t, fullDigests("a", "b"), table.Due(time.Second))
@@ -82,7 +82,7 @@
 }
 
 func TestSilentHostsGetEachProbe(t *testing.T) {
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	table.AddAddresses([]string{"a"}, 0)
 	counts, _ := countSent(table, 20*time.Second, 50*time.Second)
 	require.Equal(t, map[members.Detail]int{members.Full: 30}, counts, "one a second")
@@ -92,7 +92,7 @@
 // each host five times a second take 3.6 Mbit/s each way, in bursts.
 func TestLargeFleetSendsLess(t *testing.T) {
 	const hosts = 90
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	now := time.Second
 	for i := range hosts {
 		d := digest(fmt.Sprint("10.0.0.", i, ":7600"), 1, 1)
@@ -111,7 +111,7 @@
 }
 
 func TestHeartbeatsKeepThePartsOfEarlierDigests(t *testing.T) {
-	table := members.NewTable("self")
+	table := members.NewTable(members.Self{Address: "self"})
 	d := digest("a", 1, 1)
 	d.QuotaUsed = map[string]float64{"c": 4}
 	d.Usage = []members.WindowCounts{{Window: 3}}
--- /dev/null
+++ b/internal/gateway/members/tree.go
@@ -0,0 +1,664 @@
+package members
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
+)
+
+// The shape and timing of the tree.
+const (
+	// MaxMeshHosts is the largest number of hosts that all send full digests to
+	// each other; a larger fleet forms a tree.
+	MaxMeshHosts = 16
+	// hubsPerZone is the number of hubs of an availability zone, so that one may
+	// fail.
+	hubsPerZone = 2
+	// summaryInterval is the time between two summaries of a hub to a host;
+	// standbyInterval that of the zone's further hubs to hosts of the zone.
+	summaryInterval = 200 * time.Millisecond
+	standbyInterval = 600 * time.Millisecond
+	// fullInterval is the time between two full digests to a host that may need
+	// them. Usage is settled 1.5 s after the end of its window.
+	fullInterval = time.Second
+	// summaryTTL is how long a summary counts.
+	summaryTTL = deadIntervals * digestInterval
+	// shownFor is how long a host counts as alive that was in a summary, while no
+	// hub is heard: in that time the zone has found another hub. A host that the
+	// hubs list no more is down after delistedAfter.
+	shownFor      = 2500 * time.Millisecond
+	delistedAfter = 500 * time.Millisecond
+	// failedHubFor is how long a hub that was not heard is passed over.
+	failedHubFor = 5 * time.Second
+	// announceFor is how long a new process is in each summary, and entriesInTurn
+	// the number of further hosts in each.
+	announceFor   = 2 * time.Second
+	entriesInTurn = 4
+	// placeInterval is the time for which a place in the tree is kept.
+	placeInterval = 250 * time.Millisecond
+	// triedAtOnce is the number of hosts that are tried at once in a zone whose hubs
+	// are not known.
+	triedAtOnce = 4
+	// ownDelay is the time after which a hub's summary contains what this host
+	// reported to it.
+	ownDelay = 400 * time.Millisecond
+)
+
+// hubKey is the rendezvous hashing key that ranks hosts of the same strength as hubs.
+const hubKey = "hub"
+
+// Scope is the set of hosts that a summary covers.
+type Scope uint8
+
+// The scopes of summaries.
+const (
+	// NoScope marks a digest.
+	NoScope Scope = iota
+	// ZoneScope covers the hosts of the hub's zone.
+	ZoneScope
+	// FleetScope covers all hosts.
+	FleetScope
+)
+
+// PropagationDelay returns how much later the load of a host reaches its peers than in
+// a small fleet.
+func PropagationDelay(hosts int) time.Duration {
+	if hosts <= MaxMeshHosts {
+		return 0
+	}
+	return 2 * summaryInterval
+}
+
+// place is this host's place in the tree.
+type place struct {
+	// hubs are the addresses of the hubs of this host's zone, which may be its own,
+	// and otherHubs those of the hubs of other zones.
+	hubs      []string
+	otherHubs map[string]bool
+	// rank is this host's rank among hubs, -1 if it is none.
+	rank int
+}
+
+func (p place) isHub() bool { return len(p.hubs) > 0 && p.rank >= 0 }
+
+// received is a summary with the time at which it arrived.
+type received struct {
+	*Summary
+	at time.Duration
+}
+
+// ownReport is what this host reported of itself.
+type ownReport struct {
+	at       time.Duration
+	inFlight []UpstreamLoad
+	used     map[string]float64
+}
+
+// tree is the state of a table in a larger fleet.
+type tree struct {
+	place place
+	// placedAt is when place was found, and full the peers that get full digests.
+	placedAt time.Duration
+	full     map[string]bool
+	// wasHub is set while this host is a hub, since termFrom, and term counts how
+	// often it became one: a hub does not know what was used while it was none.
+	wasHub   bool
+	term     uint64
+	termFrom time.Duration
+	// hubsFrom is when the hubs of this host's zone last changed, and failedHubs
+	// holds the hubs that were not heard, with the time until which they are passed
+	// over.
+	hubsFrom   time.Duration
+	failedHubs map[string]time.Duration
+	// summaries holds the newest summary of each hub by its address.
+	summaries map[string]received
+	// own holds recent reports of this host, oldest first.
+	own []ownReport
+	// ownCounted is what this host is known to have used itself in uses.
+	ownCounted map[string]float64
+	// zoneUse is what other hosts of the zone used while this host was a hub.
+	zoneUse map[string]float64
+	// processUse is what each process of the zone was last heard to have used.
+	processUse map[uint64]map[string]float64
+	// hubUse turns the totals of hubs into what each zone used; the fleet's is under
+	// "".
+	hubUse map[string]*hubTotals
+	// peerUse is what all other hosts used since this process began to listen.
+	peerUse map[string]float64
+	// tried is the position of the next host to try in a zone whose hubs are not
+	// known.
+	tried int
+	// turn is the position of the next host in turn in a summary, by its scope.
+	turn map[Scope]int
+}
+
+func newTree() tree {
+	return tree{
+		summaries: map[string]received{}, zoneUse: map[string]float64{}, processUse: map[uint64]map[string]float64{},
+		hubUse: map[string]*hubTotals{}, peerUse: map[string]float64{}, ownCounted: map[string]float64{},
+		turn: map[Scope]int{}, failedHubs: map[string]time.Duration{},
+	}
+}
+
+// hubTotals follows what a zone or the fleet used by the totals of several hubs, each
+// of which began to count at another time.
+type hubTotals struct {
+	// used is the highest total by customer, counted from the first summary.
+	used map[string]float64
+	// before is what was used when a hub's term was first heard, less its total.
+	before map[hubTerm]map[string]float64
+	// heardAt is when each hub was last heard.
+	heardAt map[string]time.Duration
+}
+
+type hubTerm struct {
+	hub         string
+	incarnation uint64
+}
+
+func newHubTotals() *hubTotals {
+	return &hubTotals{used: map[string]float64{}, before: map[hubTerm]map[string]float64{}, heardAt: map[string]time.Duration{}}
+}
+
+// add applies the totals of a hub and returns what was used since the last call. The
+// totals of a hub that was cut off are behind those of the others; once it is the
+// only one, it counts from where they ended.
+func (h *hubTotals) add(term hubTerm, totals map[string]float64, now time.Duration) map[string]float64 {
+	before, known := h.before[term]
+	if !known {
+		maps.DeleteFunc(h.before, func(old hubTerm, _ map[string]float64) bool { return old.hub == term.hub })
+		before = map[string]float64{}
+		h.before[term] = before
+	}
+	h.heardAt[term.hub] = now
+	alone := true
+	for hub, at := range h.heardAt {
+		alone = alone && (hub == term.hub || now-at > summaryTTL)
+	}
+	used := map[string]float64{}
+	for customer, total := range totals {
+		if _, counted := before[customer]; !counted {
+			// A customer that the hub did not list before has used all of it since.
+			before[customer] = h.used[customer]
+			if !known {
+				before[customer] -= total
+			}
+		}
+		grown := total + before[customer] - h.used[customer]
+		switch {
+		case grown > 0:
+			used[customer] = grown
+			h.used[customer] += grown
+		case alone:
+			before[customer] -= grown
+		}
+	}
+	return used
+}
+
+// large reports whether the fleet forms a tree.
+func (t *Table) large() bool { return t.fleetSize() > MaxMeshHosts }
+
+// updatePlace finds this host's place again if it is due.
+func (t *Table) updatePlace(now time.Duration) {
+	if t.tree.placedAt > 0 && now-t.tree.placedAt < placeInterval {
+		return
+	}
+	t.tree.placedAt = now
+	former := t.tree.place
+	t.tree.place, t.tree.full = place{rank: -1}, nil
+	if t.large() {
+		t.passOverSilentHubs(former, now)
+		t.tree.place, t.tree.full = t.findPlace(now), t.fullDigestPeers()
+	}
+	if !slices.Equal(former.hubs, t.tree.place.hubs) {
+		t.tree.hubsFrom = now
+	}
+	t.startTerm(now)
+}
+
+// blind reports whether this host hears no hub of its zone, nor is one.
+func (t *Table) blind(former place, now time.Duration) bool {
+	return len(former.hubs) > 0 && !former.isHub() && now-t.tree.hubsFrom > summaryTTL && t.newestFleetSummary(now) == nil
+}
+
+// passOverSilentHubs lets the next hosts by rank become hubs if no hub of the zone is
+// heard.
+func (t *Table) passOverSilentHubs(former place, now time.Duration) {
+	maps.DeleteFunc(t.tree.failedHubs, func(_ string, until time.Duration) bool { return now >= until })
+	if !t.blind(former, now) {
+		return
+	}
+	for _, hub := range former.hubs {
+		t.tree.failedHubs[hub] = now + failedHubFor
+	}
+}
+
+// candidate is a host that may be a hub.
+type candidate struct {
+	address  string
+	strength float64
+	weight   uint64
+}
+
+// findPlace ranks the hosts of each zone by strength and hash.
+func (t *Table) findPlace(now time.Duration) place {
+	alive, dark := t.candidates(now)
+	found := place{otherHubs: map[string]bool{}, rank: -1}
+	for _, hub := range highestRanked(alive[t.self.Zone], hubsPerZone) {
+		if hub.address == t.self.Address {
+			found.rank = len(found.hubs)
+		}
+		found.hubs = append(found.hubs, hub.address)
+	}
+	for zone := range dark {
+		hubs := highestRanked(alive[zone], hubsPerZone)
+		if len(hubs) == 0 {
+			hubs = t.inTurn(dark[zone])
+		}
+		for _, hub := range hubs {
+			found.otherHubs[hub.address] = true
+		}
+	}
+	return found
+}
+
+// candidates returns the hosts of each zone that may be its hubs, this one among
+// them, and by zone all others that may be alive after all.
+func (t *Table) candidates(now time.Duration) (alive, dark map[string][]candidate) {
+	alive = map[string][]candidate{t.self.Zone: {{t.self.Address, t.self.Strength, rendezvous.Weight(hubKey, t.self.Address)}}}
+	dark = map[string][]candidate{}
+	for _, address := range t.order {
+		p, c := t.peers[address], t.contacts[address]
+		if p == nil || !p.Extension.Tree || p.Stopping {
+			continue
+		}
+		host := candidate{address, p.Extension.Strength, c.hubWeight}
+		if p.Zone != t.self.Zone {
+			dark[p.Zone] = append(dark[p.Zone], host)
+		}
+		if _, failed := t.tree.failedHubs[address]; !failed && now <= c.aliveUntil {
+			alive[p.Zone] = append(alive[p.Zone], host)
+		}
+	}
+	return alive, dark
+}
+
+// highestRanked returns the highest ranked hosts.
+func highestRanked(hosts []candidate, count int) []candidate {
+	slices.SortFunc(hosts, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(b.weight, a.weight))
+	})
+	return hosts[:min(count, len(hosts))]
+}
+
+// inTurn returns a few hosts, others at each call, of a zone in which no host is
+// alive as far as this host knows: after a network partition, or when the hubs of
+// two zones died together, its hubs are not known.
+func (t *Table) inTurn(hosts []candidate) []candidate {
+	ranked := highestRanked(hosts, len(hosts))
+	var few []candidate
+	for k := range min(triedAtOnce, len(ranked)) {
+		few = append(few, ranked[(t.tree.tried+k)%len(ranked)])
+	}
+	t.tree.tried += triedAtOnce
+	return few
+}
+
+// startTerm forgets the counts of an earlier term when this host becomes a hub.
+func (t *Table) startTerm(now time.Duration) {
+	isHub := t.tree.place.isHub()
+	if isHub && !t.tree.wasHub {
+		t.tree.term++
+		t.tree.termFrom = now
+		clear(t.tree.processUse)
+	}
+	t.tree.wasHub = isHub
+	for address, s := range t.tree.summaries {
+		if now-s.at > forgetAfter {
+			delete(t.tree.summaries, address)
+		}
+	}
+}
+
+// appendTreeDue appends what is due to a host that knows summaries or was not heard
+// yet. A host that shows no sign of life gets probes from hubs.
+func (t *Table) appendTreeDue(due []Outgoing, address string, c *contact, full bool, now time.Duration) []Outgoing {
+	place := t.tree.place
+	p := t.peers[address]
+	if p == nil || c.silence(now) > forgetAfter {
+		if place.isHub() && now-c.sentAt >= probeInterval-sendTolerance {
+			c.sentAt = now
+			due = append(due, Outgoing{Address: address, Detail: Load})
+		}
+		return due
+	}
+	if scope, pause := t.summaryFor(address, p, now <= c.aliveUntil); scope != NoScope && now-c.summaryAt >= pause-sendTolerance {
+		c.summaryAt = now
+		due = append(due, Outgoing{Address: address, Scope: scope})
+	}
+	detail, isDue := Load, slices.Contains(place.hubs, address) && now-c.sentAt >= digestInterval-sendTolerance
+	if full && now-c.fullAt >= fullInterval-sendTolerance {
+		detail, isDue, c.fullAt = Full, true, now
+	}
+	if isDue {
+		c.sentAt = now
+		due = append(due, Outgoing{Address: address, Detail: detail})
+	}
+	return due
+}
+
+// summaryFor returns which summary a host gets from this one, and at which interval.
+func (t *Table) summaryFor(address string, p *Peer, alive bool) (Scope, time.Duration) {
+	place := t.tree.place
+	switch {
+	case !place.isHub():
+		return NoScope, 0
+	case place.otherHubs[address]:
+		return ZoneScope, summaryInterval
+	case !alive:
+		return NoScope, 0
+	case p.Zone == t.self.Zone && place.rank == 0:
+		return FleetScope, summaryInterval
+	case p.Zone == t.self.Zone:
+		return FleetScope, standbyInterval
+	}
+	return NoScope, 0
+}
+
+// RecordOwn records the digest that this host sends of itself.
+func (t *Table) RecordOwn(d *Digest, now time.Duration) {
+	own := append(t.tree.own, ownReport{at: now, inFlight: d.InFlight, used: d.QuotaUsed})
+	for len(own) > 1 && now-own[1].at >= ownDelay {
+		own = own[1:]
+	}
+	t.tree.own = own
+}
+
+// reportedOwn returns what this host reported of itself about ownDelay ago.
+func (t *Table) reportedOwn() ownReport {
+	if len(t.tree.own) == 0 {
+		return ownReport{}
+	}
+	return t.tree.own[0]
+}
+
+// countUse counts what a host of this zone used since its last digest, while this
+// host is a hub.
+func (t *Table) countUse(p *Peer, now time.Duration) {
+	if !t.tree.wasHub || p.Zone != t.self.Zone || p.Detail < Load {
+		return
+	}
+	// All that a process used counts that began in this term.
+	before, known := t.tree.processUse[p.Incarnation]
+	known = known || p.Extension.Uptime < now-t.tree.termFrom
+	t.tree.processUse[p.Incarnation] = p.QuotaUsed
+	if !known {
+		return
+	}
+	for customer, total := range p.QuotaUsed {
+		grown := total - before[customer]
+		t.tree.zoneUse[customer] += grown
+		t.tree.peerUse[customer] += grown
+	}
+}
+
+// ReceiveSummary merges a summary of a hub. It returns the hosts that were unknown,
+// restarted or down.
+func (t *Table) ReceiveSummary(s *Summary, now time.Duration) []Digest {
+	if s.Hub == t.self.Address || s.Hub == "" {
+		return nil
+	}
+	if last := t.tree.summaries[s.Hub]; last.Summary != nil && last.Incarnation == s.Incarnation && last.Sequence >= s.Sequence {
+		return nil
+	}
+	var up []Digest
+	for _, entry := range s.Hosts {
+		d := entry.Digest
+		d.Extension, d.Detail = entry.Extension, Heartbeat
+		old := t.peers[d.PeerAddress]
+		if d.PeerAddress == "" || d.PeerAddress == t.self.Address || old != nil && old.Incarnation == d.Incarnation && old.Sequence >= d.Sequence {
+			continue
+		}
+		t.merge(d, now)
+		if old == nil || old.Incarnation != d.Incarnation {
+			up = append(up, d)
+		}
+	}
+	for state := range s.Alive.all() {
+		t.showAlive(state, now)
+	}
+	t.delist(s, now)
+	delete(t.tree.failedHubs, s.Hub)
+	t.tree.summaries[s.Hub] = received{Summary: s, at: now}
+	t.countHubUse(s, now)
+	return up
+}
+
+// showAlive records that a hub listed a host as alive, with its present state.
+func (t *Table) showAlive(state HostState, now time.Duration) {
+	address, known := t.addressOf[state.ID]
+	p := t.peers[address]
+	if !known || p == nil {
+		return
+	}
+	c := t.contacts[address]
+	c.markAlive(now, shownFor)
+	c.shownAt = now
+	recentDigest := c.directAt > 0 && now-c.directAt <= 2*digestInterval
+	if recentDigest || flagsOf(&p.Digest) == state.Flags {
+		return
+	}
+	changed := *p // snapshots share the old value
+	changed.Ready = state.Flags&StateReady != 0
+	changed.Stopping = state.Flags&StateStopping != 0
+	changed.ViewAge = 0
+	if state.Flags&StateFresh == 0 {
+		changed.ViewAge = freshViewAge + 1
+	}
+	t.peers[address] = &changed
+}
+
+// delist marks the hosts as down that hubs have ceased to list and that send no
+// digests to this host.
+func (t *Table) delist(s *Summary, now time.Duration) {
+	for address, c := range t.contacts {
+		p := t.peers[address]
+		covered := p != nil && (s.Fleet || p.Zone == s.Zone)
+		if covered && now-c.shownAt > delistedAfter && now-c.directAt > summaryTTL {
+			c.aliveUntil = min(c.aliveUntil, now)
+		}
+	}
+}
+
+// countHubUse counts what was used by the totals of a hub: a hub follows those of
+// other zones, any other host those of the fleet, which contain its own use.
+func (t *Table) countHubUse(s *Summary, now time.Duration) {
+	key := s.Zone
+	if s.Fleet {
+		key = ""
+	}
+	if s.Fleet == t.tree.wasHub || s.Fleet && s.Zone != t.self.Zone {
+		return
+	}
+	totals := t.tree.hubUse[key]
+	if totals == nil {
+		totals = newHubTotals()
+		t.tree.hubUse[key] = totals
+	}
+	for customer, amount := range totals.add(hubTerm{s.Hub, s.Incarnation}, s.QuotaUsed, now) {
+		t.tree.peerUse[customer] += amount
+	}
+	if !s.Fleet {
+		return
+	}
+	for customer, total := range t.reportedOwn().used {
+		t.tree.peerUse[customer] -= total - t.tree.ownCounted[customer]
+		t.tree.ownCounted[customer] = total
+	}
+}
+
+// PeerUse returns what all other hosts used of each customer's quota since this
+// process began to listen; nil in a small fleet, where digests tell it.
+func (t *Table) PeerUse() map[string]float64 {
+	if !t.large() {
+		return nil
+	}
+	return maps.Clone(t.tree.peerUse)
+}
+
+// RemoteLoads returns the load of all other live hosts by the hash of the upstream's
+// ID.
+func (t *Table) RemoteLoads(now time.Duration) map[uint32]LoadSum {
+	total := newSums()
+	if fleet := t.newestFleetSummary(now); t.large() && !t.tree.wasHub && fleet != nil {
+		total.addSummary(fleet, 0)
+		for _, own := range t.reportedOwn().inFlight {
+			sum, known := total.loads[own.Upstream]
+			if !known {
+				continue
+			}
+			sum.Requests -= min(uint32(own.Requests), sum.Requests)
+			sum.Tokens -= min(own.Tokens, sum.Tokens)
+			total.loads[own.Upstream] = sum
+		}
+		return total.loads
+	}
+	t.addPeers(total, now)
+	t.addOtherZones(total, now)
+	return total.loads
+}
+
+// newestFleetSummary returns the newest summary of a hub of this zone, or nil.
+func (t *Table) newestFleetSummary(now time.Duration) *Summary {
+	var newest received
+	for _, s := range t.tree.summaries {
+		if s.Fleet && s.Zone == t.self.Zone && now-s.at <= summaryTTL && s.at >= newest.at {
+			newest = s
+		}
+	}
+	return newest.Summary
+}
+
+// addPeers adds the digests of live hosts; in a larger fleet, of those in this zone.
+func (t *Table) addPeers(total *sums, now time.Duration) {
+	for _, address := range t.order {
+		p, c := t.peers[address], t.contacts[address]
+		if p == nil || now > c.aliveUntil || t.large() && !t.isMember(p, c, now) {
+			continue
+		}
+		total.addLoads(p.InFlight, p.Suspects)
+		total.addEvidence(p.Crashes, p.Cleared, p.Extension.Leaving, now-c.directAt)
+	}
+}
+
+// isMember reports whether a host is in this zone and sends digests to this host.
+func (t *Table) isMember(p *Peer, c *contact, now time.Duration) bool {
+	return p.Zone == t.self.Zone && c.directAt > 0 && now-c.directAt <= summaryTTL
+}
+
+// addOtherZones adds the newest summary of each other zone.
+func (t *Table) addOtherZones(total *sums, now time.Duration) {
+	for _, s := range t.otherZones(now) {
+		total.addSummary(s.Summary, now-s.at)
+	}
+}
+
+// otherZones returns the newest summary of each other zone.
+func (t *Table) otherZones(now time.Duration) map[string]received {
+	newest := map[string]received{}
+	for _, s := range t.tree.summaries {
+		if !s.Fleet && s.Zone != t.self.Zone && now-s.at <= summaryTTL && s.at >= newest[s.Zone].at {
+			newest[s.Zone] = s
+		}
+	}
+	return newest
+}
+
+// Summary returns this host's summary of a scope. own is its own digest.
+func (t *Table) Summary(scope Scope, own *Digest, now time.Duration) *Summary {
+	s := &Summary{
+		Hub: t.self.Address, Zone: t.self.Zone, Incarnation: own.Incarnation + t.tree.term, Sequence: own.Sequence,
+		Fleet: scope == FleetScope,
+		Alive: HostStates{}.add(HostState{ID: HostID(t.self.Address), Flags: flagsOf(own)}),
+		Hosts: []HostEntry{{Digest: *own.Trim(Heartbeat), Extension: own.Trim(Heartbeat).Extension}},
+	}
+	total := newSums()
+	total.addLoads(own.InFlight, own.Suspects)
+	total.addEvidence(own.Crashes, own.Cleared, own.Extension.Leaving, 0)
+	t.addPeers(total, now)
+	s.QuotaUsed = addUse(maps.Clone(t.tree.zoneUse), own.QuotaUsed)
+	var listed []string
+	for _, address := range t.order {
+		if p, c := t.peers[address], t.contacts[address]; p != nil && t.isMember(p, c, now) {
+			s.Alive = s.Alive.add(HostState{ID: HostID(address), Flags: flagsOf(&p.Digest)})
+			listed = append(listed, address)
+		}
+	}
+	if s.Fleet {
+		for zone, other := range t.otherZones(now) {
+			total.addSummary(other.Summary, now-other.at)
+			for state := range other.Alive.all() {
+				s.Alive = s.Alive.add(state)
+				if address, known := t.addressOf[state.ID]; known && t.peers[address] != nil {
+					listed = append(listed, address)
+				}
+			}
+			if totals := t.tree.hubUse[zone]; totals != nil {
+				addUse(s.QuotaUsed, totals.used)
+			}
+		}
+	}
+	s.Hosts = append(s.Hosts, t.entries(scope, listed, now)...)
+	total.fill(s)
+	return s
+}
+
+func addUse(sum, more map[string]float64) map[string]float64 {
+	for customer, amount := range more {
+		sum[customer] += amount
+	}
+	return sum
+}
+
+// entries returns the heartbeats of the listed hosts that hold duties or have a new
+// process, and of some others in turn.
+func (t *Table) entries(scope Scope, listed []string, now time.Duration) []HostEntry {
+	var entries []HostEntry
+	inTurn := map[string]bool{}
+	count := entriesInTurn
+	if scope == FleetScope && t.hasNewMember(now) {
+		count = maxSummaryEntries
+	}
+	for k := range min(count, len(listed)) {
+		inTurn[listed[(t.tree.turn[scope]+k)%len(listed)]] = true
+	}
+	t.tree.turn[scope] += count
+	for _, address := range listed {
+		p := t.peers[address]
+		announced := now-t.contacts[address].changedAt <= announceFor && len(entries) < maxSummaryEntries
+		if p.LedgerToken > 0 || announced || inTurn[address] {
+			heartbeat := p.Trim(Heartbeat)
+			heartbeat.Extension.Leaving = nil
+			entries = append(entries, HostEntry{Digest: *heartbeat, Extension: heartbeat.Extension})
+		}
+	}
+	return entries
+}
+
+// maxSummaryEntries bounds the new processes in a summary, and the hosts in turn
+// while a host of the zone is new and knows none.
+const maxSummaryEntries = 40
+
+// hasNewMember reports whether a host of this zone has a new process.
+func (t *Table) hasNewMember(now time.Duration) bool {
+	for address, c := range t.contacts {
+		if p := t.peers[address]; p != nil && p.Zone == t.self.Zone && now-c.changedAt <= announceFor {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/options/options.go
+++ b/internal/gateway/options/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/marigoldmux/marigoldmux/internal/gateway/quota"
 	"github.com/marigoldmux/marigoldmux/internal/jsonc"
 )
 
@@ -43,6 +44,12 @@
 	// DutyLease is the time in which holders of the duties must not alternate.
 	DutyLease   jsonc.Duration `json:"dutyLease"`
 	RetryBudget RetryBudget    `json:"retryBudget"`
+	// QuotaTolerance is how far the use of a customer may exceed its quota; by
+	// default not at all.
+	QuotaTolerance QuotaTolerance `json:"quotaTolerance,omitzero"`
+	// Strength is what the host can carry compared with others, in any unit.
+	// Stronger hosts read the log and sum up digests for others first.
+	Strength float64 `json:"strength,omitempty"`
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
 	MemoryMB int `json:"memoryMB,omitempty"`
 }
@@ -61,6 +68,19 @@
 	Window jsonc.Duration `json:"window"`
 }
 
+// QuotaTolerance bounds what a customer may use in a Window to its quota, a share of
+// it and a slack in the quota's unit.
+type QuotaTolerance struct {
+	Excess float64        `json:"excess"`
+	Slack  float64        `json:"slack"`
+	Window jsonc.Duration `json:"window"`
+}
+
+// Limits returns the tolerance in the terms of quotas.
+func (t QuotaTolerance) Limits() quota.Tolerance {
+	return quota.Tolerance{Excess: t.Excess, Slack: t.Slack, Window: t.Window.D()}
+}
+
 // Load reads and validates a settings file.
 func Load(path string) (*Options, error) {
 	src, err := os.ReadFile(path)
@@ -130,5 +150,16 @@
 			fault(path, "want a duration above 0")
 		}
 	}
+	if o.Strength < 0 {
+		fault("/strength", "want a number of at least 0")
+	}
+	for path, value := range map[string]float64{"/quotaTolerance/excess": o.QuotaTolerance.Excess, "/quotaTolerance/slack": o.QuotaTolerance.Slack} {
+		if value < 0 {
+			fault(path, "want a number of at least 0")
+		}
+	}
+	if o.QuotaTolerance.Window.D() < 0 {
+		fault("/quotaTolerance/window", "want a duration of at least 0")
+	}
 	return faults
 }
--- a/internal/gateway/options/options_test.go
+++ b/internal/gateway/options/options_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/options"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/quota"
 )
 
 // placeholderValues are values for the placeholders that the platform fills in.
@@ -19,7 +20,10 @@
 	"provider.address|json": `"10.200.1.7:8225"`, "cloudApi.address": "10.200.0.35:8225",
 	"parameters.gracePeriodS": "8", "parameters.revokeMs": "5000", "parameters.windowS": "5", "parameters.leaseMs": "3000",
 	"parameters.retryBudgetRatio|json": "0.2", "parameters.retrySlack|json": "58", "parameters.budgetWindowS": "10",
-	"limits.memoryMb|json": "284",
+	"limits.memoryMb|json": "284", "limits.cpuShare|json": "0.4",
+	// A section is rendered if its value is present.
+	"#parameters.quotaWindowS": "", "/parameters.quotaWindowS": "",
+	"parameters.quotaExcess|json": "0.1", "parameters.quotaSlack|json": "140000", "parameters.quotaWindowS": "8",
 }
 
 var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
@@ -28,6 +32,10 @@
 func settingsFromTemplate(t testing.TB) []byte {
 	src, err := os.ReadFile("../../../deploy/gateway.tmpl")
 	require.NoError(t, err)
+	return fillPlaceholders(t, src)
+}
+
+func fillPlaceholders(t testing.TB, src []byte) []byte {
 	return placeholder.ReplaceAllFunc(src, func(match []byte) []byte {
 		value, known := placeholderValues[string(match[2:len(match)-2])]
 		require.True(t, known, "placeholder %s", match)
@@ -43,6 +51,19 @@
 	require.Equal(t, 8*time.Second, o.GracePeriod.D())
 	require.InDelta(t, 58, o.RetryBudget.Slack, 0)
 	require.Equal(t, 7600, o.PeerPort)
+	require.InDelta(t, 0.4, o.Strength, 0)
+	require.Equal(t, quota.Tolerance{Excess: 0.1, Slack: 140_000, Window: 8 * time.Second}, o.QuotaTolerance.Limits())
+}
+
+// TestTemplateWithoutQuotas checks the settings of a deployment in which quotas have
+// no tolerance.
+func TestTemplateWithoutQuotas(t *testing.T) {
+	src, err := os.ReadFile("../../../deploy/gateway.tmpl")
+	require.NoError(t, err)
+	section := regexp.MustCompile(`(?s)\{\{#parameters\.quotaWindowS\}\}.*\{\{/parameters\.quotaWindowS\}\}`)
+	o, err := options.Parse(fillPlaceholders(t, section.ReplaceAll(src, nil)))
+	require.NoError(t, err)
+	require.Zero(t, o.QuotaTolerance)
 }
 
 func TestErrorListsEveryFault(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -68,7 +68,10 @@
 			continue
 		}
 		log.succeeded()
-		g.loop.Submit(ctx, control.AddressesFound{Addresses: addressesOf(entries)})
+		addresses := addressesOf(entries)
+		g.loop.Submit(ctx, control.AddressesFound{Addresses: addresses})
+		found := len(addresses) - 1
+		g.discovered.Store(&found)
 		sleep(ctx, rediscoverAfter)
 		for ctx.Err() == nil && len(g.loop.Snapshot().Peers) > 0 {
 			sleep(ctx, rediscoverAfter)
@@ -110,43 +113,56 @@
 			sleep(ctx, minReadBackoff)
 			continue
 		}
-		digest, err := members.Decode(buf[:n])
+		input, err := decodeDatagram(buf[:n])
 		if err != nil {
 			g.events.Emit(eventUndecodable, event.Err(err))
 			continue
 		}
-		g.loop.Submit(ctx, control.DigestReceived{Digest: digest})
+		g.loop.Submit(ctx, input)
 	}
 }
 
+// decodeDatagram returns the input to the loop that a datagram of a peer holds.
+func decodeDatagram(data []byte) (any, error) {
+	if members.IsSummary(data) {
+		summary, err := members.DecodeSummary(data)
+		return control.SummaryReceived{Summary: summary}, err
+	}
+	digest, err := members.Decode(data)
+	return control.DigestReceived{Digest: digest}, err
+}
+
 func (g *Gateway) sendDigests(ctx context.Context, socket *net.UDPConn) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case due := <-g.loop.Outgoing():
-			g.sendDigest(socket, due)
+		case batch := <-g.loop.Outgoing():
+			g.sendBatch(socket, batch)
 		}
 	}
 }
 
-// sendDigest sends a digest to all given peers; each level of detail is encoded
-// once.
-func (g *Gateway) sendDigest(socket *net.UDPConn, due []members.Outgoing) {
-	digest := g.digest()
-	encoded := map[members.Detail][]byte{}
-	for _, send := range due {
+// sendBatch sends the datagrams of a batch; each content is encoded once.
+func (g *Gateway) sendBatch(socket *net.UDPConn, batch control.Batch) {
+	type content struct {
+		detail members.Detail
+		scope  members.Scope
+	}
+	encoded := map[content][]byte{}
+	for _, send := range batch.Sends {
 		to, err := netip.ParseAddrPort(send.Address)
 		if err != nil {
 			continue
 		}
-		data := encoded[send.Detail]
+		key := content{send.Detail, send.Scope}
+		data := encoded[key]
 		if data == nil {
-			if data, err = members.Encode(digest.Trim(send.Detail)); err != nil {
+			if data, err = encodeDatagram(batch, send); err != nil {
 				g.events.Emit(eventUndecodable, event.Err(err))
 				return
 			}
-			encoded[send.Detail] = data
+			encoded[key] = data
 		}
 		// A failed send is like a lost datagram: the next digest follows, and the
 		// peer drops this host if none arrives.
@@ -154,7 +170,15 @@
 	}
 }
 
-func (g *Gateway) digest() *members.Digest {
+func encodeDatagram(batch control.Batch, send members.Outgoing) ([]byte, error) {
+	if send.Scope != members.NoScope {
+		return members.EncodeSummary(batch.Summaries[send.Scope])
+	}
+	return members.Encode(batch.Digest.Trim(send.Detail))
+}
+
+// Digest implements control.Observer.
+func (g *Gateway) Digest() *members.Digest {
 	g.digestSequence++
 	now := boottime.Now()
 	inFlight, suspects := g.inFlight.InFlight(now)
@@ -168,7 +192,7 @@
 		Crashes: crashes, Cleared: cleared,
 		QuotaUsed: g.quota.Used(), Usage: g.usage.Recent(g.usage.Now()), Demand: g.inFlight.Demand(),
 		VersionStats: g.inFlight.VersionStats(view.Rollouts), TargetStats: g.inFlight.TargetStats(view), VersionShares: g.duties.VersionShares(),
-		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving()},
+		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving(), Tree: true, Strength: g.options.Strength, Uptime: now - g.startedAt},
 	}
 }
 
