--- a/internal/gateway/members/members.go
+++ b/internal/gateway/members/members.go
@@ -11,7 +11,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,8 +72,11 @@
 // Peer is another host.
 type Peer struct{ Digest }
 
-// contact is the address of a host that may be alive.
+// contact is a host that may be alive.
 type contact struct {
+	address string
+	// peer is what the host said last, nil if it was not heard yet.
+	peer    *Peer
 	addedAt time.Duration
 	// heardAt is when the host last showed to be alive, by a digest or in a
 	// summary, and directAt when its last digest was received; 0 if never.
@@ -92,8 +94,9 @@
 	sentAt, loadAt, fullAt, summaryAt time.Duration
 	// contacted is set when a digest was sent before.
 	contacted bool
-	// hubWeight ranks the host among the hosts of its zone.
-	hubWeight uint64
+	// hubWeight ranks the host among the hosts of its zone, dutyWeight among those
+	// that may hold the duties.
+	hubWeight, dutyWeight uint64
 }
 
 // markAlive records that the host showed to be alive and counts as such for a time.
@@ -102,6 +105,9 @@
 	c.aliveUntil = max(c.aliveUntil, now+lasts)
 }
 
+// isAlive reports whether the host was heard and does not count as down.
+func (c *contact) isAlive(now time.Duration) bool { return c.peer != nil && now <= c.aliveUntil }
+
 // silence returns the time since the host last showed to be alive.
 func (c *contact) silence(now time.Duration) time.Duration { return now - max(c.heardAt, c.addedAt) }
 
@@ -122,44 +128,45 @@
 // Table holds the known hosts. It is not safe for concurrent use.
 type Table struct {
 	self     Self
-	peers    map[string]*Peer
 	contacts map[string]*contact
-	// order holds the addresses of contacts, sorted, and addressOf the address of
-	// each HostID.
-	order     []string
-	addressOf map[uint32]string
-	tree      tree
+	// order holds the contacts sorted by address, and byID those by their HostID.
+	order []*contact
+	byID  map[uint32]*contact
+	tree  tree
 }
 
 // NewTable returns the table of a host.
 func NewTable(self Self) *Table {
-	return &Table{
-		self: self, peers: map[string]*Peer{}, contacts: map[string]*contact{}, addressOf: map[uint32]string{},
-		tree: newTree(),
-	}
+	return &Table{self: self, contacts: map[string]*contact{}, byID: map[uint32]*contact{}, tree: newTree()}
 }
 
 // AddAddresses adds addresses of possible hosts, which then get digests.
 func (t *Table) AddAddresses(addresses []string, now time.Duration) {
+	known := len(t.order)
 	for _, address := range addresses {
 		if address == t.self.Address || t.contacts[address] != nil {
 			continue
 		}
-		t.contacts[address] = &contact{addedAt: now}
-		t.addressOf[HostID(address)] = address
-		at, _ := slices.BinarySearch(t.order, address)
-		t.order = slices.Insert(t.order, at, address)
+		c := &contact{address: address, addedAt: now}
+		t.contacts[address], t.byID[HostID(address)] = c, c
+		t.order = append(t.order, c)
 	}
+	if len(t.order) == known {
+		return
+	}
+	slices.SortFunc(t.order, func(a, b *contact) int { return cmp.Compare(a.address, b.address) })
 }
 
-// drop forgets a host.
-func (t *Table) drop(address string) {
-	delete(t.contacts, address)
-	delete(t.peers, address)
-	delete(t.addressOf, HostID(address))
-	if at, found := slices.BinarySearch(t.order, address); found {
-		t.order = slices.Delete(t.order, at, at+1)
-	}
+// dropSilent forgets the hosts that have not shown to be alive for probeDuration.
+func (t *Table) dropSilent(now time.Duration) {
+	t.order = slices.DeleteFunc(t.order, func(c *contact) bool {
+		silent := c.silence(now) > probeDuration
+		if silent {
+			delete(t.contacts, c.address)
+			delete(t.byID, HostID(c.address))
+		}
+		return silent
+	})
 }
 
 // Receive merges a digest. It reports whether the host was unknown, restarted or
@@ -168,12 +175,14 @@
 	if d.PeerAddress == t.self.Address || d.PeerAddress == "" {
 		return false
 	}
+	t.AddAddresses([]string{d.PeerAddress}, now)
+	c := t.contacts[d.PeerAddress]
+	old := c.peer
 	// A summary may bring a heartbeat of the same sequence number first.
-	old, before := t.peers[d.PeerAddress], t.contacts[d.PeerAddress]
-	if old != nil && old.Incarnation == d.Incarnation && (old.Sequence > d.Sequence || before.directSequence >= d.Sequence) {
+	if old != nil && old.Incarnation == d.Incarnation && (old.Sequence > d.Sequence || c.directSequence >= d.Sequence) {
 		return false
 	}
-	c := t.merge(d, now)
+	c.merge(d, now)
 	up := old == nil || old.Incarnation != d.Incarnation || now > c.aliveUntil
 	c.directAt, c.directSequence = now, d.Sequence
 	delete(t.tree.failedHubs, d.PeerAddress)
@@ -182,23 +191,20 @@
 		lasts = deadAfter(t.fleetSize())
 	}
 	c.markAlive(now, lasts)
-	t.countUse(t.peers[d.PeerAddress], now)
+	t.countUse(c.peer, now)
 	return up
 }
 
 // merge stores a digest that is newer than the last one of the host.
-func (t *Table) merge(d Digest, now time.Duration) *contact {
-	t.AddAddresses([]string{d.PeerAddress}, now)
-	c := t.contacts[d.PeerAddress]
-	old := t.peers[d.PeerAddress]
-	if old != nil && old.Incarnation == d.Incarnation {
-		d = d.withMissingFrom(&old.Digest)
+func (c *contact) merge(d Digest, now time.Duration) {
+	if c.peer != nil && c.peer.Incarnation == d.Incarnation {
+		d = d.withMissingFrom(&c.peer.Digest)
 	} else {
 		c.changedAt, c.directAt, c.directSequence = now, 0, 0
-		c.hubWeight = rendezvous.Weight(hubKey, d.PeerAddress)
+		c.hubWeight = rendezvous.Weight(hubKey, c.address)
+		c.dutyWeight = rendezvous.Weight(dutyKey, d.Host)
 	}
-	t.peers[d.PeerAddress] = &Peer{Digest: d}
-	return c
+	c.peer = &Peer{Digest: d}
 }
 
 // fleetSize returns the number of known hosts, this one included.
@@ -207,9 +213,9 @@
 // Live returns the hosts that are not down, sorted by address.
 func (t *Table) Live(now time.Duration) []*Peer {
 	var live []*Peer
-	for _, address := range t.order {
-		if p := t.peers[address]; p != nil && now <= t.contacts[address].aliveUntil {
-			live = append(live, p)
+	for _, c := range t.order {
+		if c.isAlive(now) {
+			live = append(live, c.peer)
 		}
 	}
 	return live
@@ -222,11 +228,13 @@
 // SenderNames returns the names of the hosts that SenderCount counts.
 func (t *Table) SenderNames(now time.Duration) []string {
 	var names []string
-	for address, p := range t.peers {
-		c := t.contacts[address]
-		left := p.Stopping && now > c.aliveUntil
+	for _, c := range t.order {
+		if c.peer == nil {
+			continue
+		}
+		left := c.peer.Stopping && now > c.aliveUntil
 		if c.silence(now) <= forgetAfter && !left {
-			names = append(names, p.Host)
+			names = append(names, c.peer.Host)
 		}
 	}
 	return names
@@ -235,25 +243,19 @@
 // Due returns the datagrams to send now and records them as sent. It drops hosts
 // that have not shown to be alive for probeDuration.
 func (t *Table) Due(now time.Duration) []Outgoing {
+	t.dropSilent(now)
 	large := t.large()
 	t.updatePlace(now)
-	full := t.tree.full
 	var due []Outgoing
-	for _, address := range slices.Clone(t.order) {
-		c := t.contacts[address]
-		if c.silence(now) > probeDuration {
-			t.drop(address)
+	for _, c := range t.order {
+		if large && c.contacted && (c.peer == nil || c.peer.Extension.Tree) {
+			due = t.appendTreeDue(due, c, now)
 			continue
 		}
-		if p := t.peers[address]; large && c.contacted && (p == nil || p.Extension.Tree) {
-			due = t.appendTreeDue(due, address, c, full[address], now)
-			continue
-		}
-		if detail, isDue := t.meshDue(address, c, full, now); isDue {
-			due = append(due, Outgoing{Address: address, Detail: detail})
+		if detail, isDue := t.meshDue(c, now); isDue {
+			due = append(due, Outgoing{Address: c.address, Detail: detail})
 		}
 	}
-	sort.SliceStable(due, func(i, j int) bool { return due[i].Address < due[j].Address })
 	return due
 }
 
@@ -261,7 +263,7 @@
 //
 // Load pattern: ninety hosts with links of 10 Mbit/s, of which full digests
 // between all hosts at short intervals would take the larger part.
-func (t *Table) meshDue(address string, c *contact, full map[string]bool, now time.Duration) (Detail, bool) {
+func (t *Table) meshDue(c *contact, now time.Duration) (Detail, bool) {
 	hosts := t.fleetSize()
 	pause := heartbeatInterval(hosts)
 	if c.silence(now) > forgetAfter {
@@ -274,13 +276,13 @@
 	if !c.contacted || now-c.loadAt >= loadInterval(hosts)-sendTolerance {
 		detail, c.loadAt = Load, now
 	}
-	if detail == Load && (!t.large() || full[address]) {
+	if detail == Load && (!t.large() || t.tree.full[c.address]) {
 		detail = Full
 	}
 	c.sentAt = now
 	if !c.contacted {
 		c.contacted = true
-		c.sentAt -= phase(address, hosts)
+		c.sentAt -= phase(c.address, hosts)
 	}
 	return detail, true
 }
@@ -297,39 +299,43 @@
 // the next candidates for them.
 func (t *Table) fullDigestPeers() map[string]bool {
 	full := map[string]bool{}
-	var candidates []*Peer
-	for address, p := range t.peers {
-		if p.LedgerToken > 0 {
-			full[address] = true
+	var candidates []*contact
+	for _, c := range t.order {
+		if c.peer == nil {
+			continue
+		}
+		if c.peer.LedgerToken > 0 {
+			full[c.address] = true
 		}
-		if p.Ready && !p.Stopping {
-			candidates = append(candidates, p)
+		if c.peer.Ready && !c.peer.Stopping {
+			candidates = append(candidates, c)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *Peer) int {
-		return compareForDuties(a.Host, a.Extension.Strength, b.Host, b.Extension.Strength)
+	slices.SortFunc(candidates, func(a, b *contact) int {
+		return compareForDuties(a.peer, a.dutyWeight, b.peer, b.dutyWeight)
 	})
-	for _, p := range candidates[:min(dutyCandidates, len(candidates))] {
-		full[p.PeerAddress] = true
+	for _, c := range candidates[:min(dutyCandidates, len(candidates))] {
+		full[c.address] = true
 	}
 	return full
 }
 
 // compareForDuties orders hosts by how soon they claim the duties: stronger ones
-// first, since their holder hears of all hosts.
-func compareForDuties(a string, strengthA float64, b string, strengthB float64) int {
+// first, since the holder hears of all hosts.
+func compareForDuties(a *Peer, weightA uint64, b *Peer, weightB uint64) int {
 	return cmp.Or(
-		cmp.Compare(strengthB, strengthA), cmp.Compare(rendezvous.Weight(dutyKey, b), rendezvous.Weight(dutyKey, a)),
-		cmp.Compare(a, b),
+		cmp.Compare(b.Extension.Strength, a.Extension.Strength), cmp.Compare(weightB, weightA), cmp.Compare(a.Host, b.Host),
 	)
 }
 
 // DutyRank returns how many of the peers that can hold the duties precede a host in
 // the order of claims.
 func DutyRank(host string, strength float64, peers []*Peer) int {
+	self := &Peer{Digest: Digest{Host: host, Extension: Extension{Strength: strength}}}
+	weight := rendezvous.Weight(dutyKey, host)
 	rank := 0
 	for _, p := range peers {
-		if p.Ready && !p.Stopping && compareForDuties(p.Host, p.Extension.Strength, host, strength) < 0 {
+		if p.Ready && !p.Stopping && p.Extension.Strength >= strength && compareForDuties(p, rendezvous.Weight(dutyKey, p.Host), self, weight) < 0 {
 			rank++
 		}
 	}
--- a/internal/gateway/members/tree.go
+++ b/internal/gateway/members/tree.go
@@ -271,16 +271,16 @@
 func (t *Table) candidates(now time.Duration) (alive, dark map[string][]candidate) {
 	alive = map[string][]candidate{t.self.Zone: {{t.self.Address, t.self.Strength, rendezvous.Weight(hubKey, t.self.Address)}}}
 	dark = map[string][]candidate{}
-	for _, address := range t.order {
-		p, c := t.peers[address], t.contacts[address]
+	for _, c := range t.order {
+		p := c.peer
 		if p == nil || !p.Extension.Tree || p.Stopping {
 			continue
 		}
-		host := candidate{address, p.Extension.Strength, c.hubWeight}
+		host := candidate{c.address, p.Extension.Strength, c.hubWeight}
 		if p.Zone != t.self.Zone {
 			dark[p.Zone] = append(dark[p.Zone], host)
 		}
-		if _, failed := t.tree.failedHubs[address]; !failed && now <= c.aliveUntil {
+		if _, failed := t.tree.failedHubs[c.address]; !failed && now <= c.aliveUntil {
 			alive[p.Zone] = append(alive[p.Zone], host)
 		}
 	}
@@ -326,22 +326,21 @@
 
 // appendTreeDue appends what is due to a host that knows summaries or was not heard
 // yet. A host that shows no sign of life gets probes from hubs.
-func (t *Table) appendTreeDue(due []Outgoing, address string, c *contact, full bool, now time.Duration) []Outgoing {
-	place := t.tree.place
-	p := t.peers[address]
-	if p == nil || c.silence(now) > forgetAfter {
+func (t *Table) appendTreeDue(due []Outgoing, c *contact, now time.Duration) []Outgoing {
+	place, address := t.tree.place, c.address
+	if c.peer == nil || c.silence(now) > forgetAfter {
 		if place.isHub() && now-c.sentAt >= probeInterval-sendTolerance {
 			c.sentAt = now
 			due = append(due, Outgoing{Address: address, Detail: Load})
 		}
 		return due
 	}
-	if scope, pause := t.summaryFor(address, p, now <= c.aliveUntil); scope != NoScope && now-c.summaryAt >= pause-sendTolerance {
+	if scope, pause := t.summaryFor(c, now); scope != NoScope && now-c.summaryAt >= pause-sendTolerance {
 		c.summaryAt = now
 		due = append(due, Outgoing{Address: address, Scope: scope})
 	}
 	detail, isDue := Load, slices.Contains(place.hubs, address) && now-c.sentAt >= digestInterval-sendTolerance
-	if full && now-c.fullAt >= fullInterval-sendTolerance {
+	if t.tree.full[address] && now-c.fullAt >= fullInterval-sendTolerance {
 		detail, isDue, c.fullAt = Full, true, now
 	}
 	if isDue {
@@ -352,18 +351,18 @@
 }
 
 // summaryFor returns which summary a host gets from this one, and at which interval.
-func (t *Table) summaryFor(address string, p *Peer, alive bool) (Scope, time.Duration) {
+func (t *Table) summaryFor(c *contact, now time.Duration) (Scope, time.Duration) {
 	place := t.tree.place
 	switch {
 	case !place.isHub():
 		return NoScope, 0
-	case place.otherHubs[address]:
+	case place.otherHubs[c.address]:
 		return ZoneScope, summaryInterval
-	case !alive:
+	case now > c.aliveUntil:
 		return NoScope, 0
-	case p.Zone == t.self.Zone && place.rank == 0:
+	case c.peer.Zone == t.self.Zone && place.rank == 0:
 		return FleetScope, summaryInterval
-	case p.Zone == t.self.Zone:
+	case c.peer.Zone == t.self.Zone:
 		return FleetScope, standbyInterval
 	}
 	return NoScope, 0
@@ -419,11 +418,16 @@
 	for _, entry := range s.Hosts {
 		d := entry.Digest
 		d.Extension, d.Detail = entry.Extension, Heartbeat
-		old := t.peers[d.PeerAddress]
-		if d.PeerAddress == "" || d.PeerAddress == t.self.Address || old != nil && old.Incarnation == d.Incarnation && old.Sequence >= d.Sequence {
+		if d.PeerAddress == "" || d.PeerAddress == t.self.Address {
+			continue
+		}
+		t.AddAddresses([]string{d.PeerAddress}, now)
+		c := t.contacts[d.PeerAddress]
+		old := c.peer
+		if old != nil && old.Incarnation == d.Incarnation && old.Sequence >= d.Sequence {
 			continue
 		}
-		t.merge(d, now)
+		c.merge(d, now)
 		if old == nil || old.Incarnation != d.Incarnation {
 			up = append(up, d)
 		}
@@ -440,34 +444,31 @@
 
 // showAlive records that a hub listed a host as alive, with its present state.
 func (t *Table) showAlive(state HostState, now time.Duration) {
-	address, known := t.addressOf[state.ID]
-	p := t.peers[address]
-	if !known || p == nil {
+	c := t.byID[state.ID]
+	if c == nil || c.peer == nil {
 		return
 	}
-	c := t.contacts[address]
 	c.markAlive(now, shownFor)
 	c.shownAt = now
 	recentDigest := c.directAt > 0 && now-c.directAt <= 2*digestInterval
-	if recentDigest || flagsOf(&p.Digest) == state.Flags {
+	if recentDigest || flagsOf(&c.peer.Digest) == state.Flags {
 		return
 	}
-	changed := *p // snapshots share the old value
+	changed := *c.peer // snapshots share the old value
 	changed.Ready = state.Flags&StateReady != 0
 	changed.Stopping = state.Flags&StateStopping != 0
 	changed.ViewAge = 0
 	if state.Flags&StateFresh == 0 {
 		changed.ViewAge = freshViewAge + 1
 	}
-	t.peers[address] = &changed
+	c.peer = &changed
 }
 
 // delist marks the hosts as down that hubs have ceased to list and that send no
 // digests to this host.
 func (t *Table) delist(s *Summary, now time.Duration) {
-	for address, c := range t.contacts {
-		p := t.peers[address]
-		covered := p != nil && (s.Fleet || p.Zone == s.Zone)
+	for _, c := range t.order {
+		covered := c.peer != nil && (s.Fleet || c.peer.Zone == s.Zone)
 		if covered && now-c.shownAt > delistedAfter && now-c.directAt > summaryTTL {
 			c.aliveUntil = min(c.aliveUntil, now)
 		}
@@ -545,19 +546,20 @@
 
 // addPeers adds the digests of live hosts; in a larger fleet, of those in this zone.
 func (t *Table) addPeers(total *sums, now time.Duration) {
-	for _, address := range t.order {
-		p, c := t.peers[address], t.contacts[address]
-		if p == nil || now > c.aliveUntil || t.large() && !t.isMember(p, c, now) {
+	large := t.large()
+	for _, c := range t.order {
+		if !c.isAlive(now) || large && !t.isMember(c, now) {
 			continue
 		}
+		p := c.peer
 		total.addLoads(p.InFlight, p.Suspects)
 		total.addEvidence(p.Crashes, p.Cleared, p.Extension.Leaving, now-c.directAt)
 	}
 }
 
 // isMember reports whether a host is in this zone and sends digests to this host.
-func (t *Table) isMember(p *Peer, c *contact, now time.Duration) bool {
-	return p.Zone == t.self.Zone && c.directAt > 0 && now-c.directAt <= summaryTTL
+func (t *Table) isMember(c *contact, now time.Duration) bool {
+	return c.peer != nil && c.peer.Zone == t.self.Zone && c.directAt > 0 && now-c.directAt <= summaryTTL
 }
 
 // addOtherZones adds the newest summary of each other zone.
@@ -591,11 +593,11 @@
 	total.addEvidence(own.Crashes, own.Cleared, own.Extension.Leaving, 0)
 	t.addPeers(total, now)
 	s.QuotaUsed = addUse(maps.Clone(t.tree.zoneUse), own.QuotaUsed)
-	var listed []string
-	for _, address := range t.order {
-		if p, c := t.peers[address], t.contacts[address]; p != nil && t.isMember(p, c, now) {
-			s.Alive = s.Alive.add(HostState{ID: HostID(address), Flags: flagsOf(&p.Digest)})
-			listed = append(listed, address)
+	var listed []*contact
+	for _, c := range t.order {
+		if t.isMember(c, now) {
+			s.Alive = s.Alive.add(HostState{ID: HostID(c.address), Flags: flagsOf(&c.peer.Digest)})
+			listed = append(listed, c)
 		}
 	}
 	if s.Fleet {
@@ -603,8 +605,8 @@
 			total.addSummary(other.Summary, now-other.at)
 			for state := range other.Alive.all() {
 				s.Alive = s.Alive.add(state)
-				if address, known := t.addressOf[state.ID]; known && t.peers[address] != nil {
-					listed = append(listed, address)
+				if c := t.byID[state.ID]; c != nil && c.peer != nil {
+					listed = append(listed, c)
 				}
 			}
 			if totals := t.tree.hubUse[zone]; totals != nil {
@@ -626,9 +628,9 @@
 
 // entries returns the heartbeats of the listed hosts that hold duties or have a new
 // process, and of some others in turn.
-func (t *Table) entries(scope Scope, listed []string, now time.Duration) []HostEntry {
+func (t *Table) entries(scope Scope, listed []*contact, now time.Duration) []HostEntry {
 	var entries []HostEntry
-	inTurn := map[string]bool{}
+	inTurn := map[*contact]bool{}
 	count := entriesInTurn
 	if scope == FleetScope && t.hasNewMember(now) {
 		count = maxSummaryEntries
@@ -637,11 +639,10 @@
 		inTurn[listed[(t.tree.turn[scope]+k)%len(listed)]] = true
 	}
 	t.tree.turn[scope] += count
-	for _, address := range listed {
-		p := t.peers[address]
-		announced := now-t.contacts[address].changedAt <= announceFor && len(entries) < maxSummaryEntries
-		if p.LedgerToken > 0 || announced || inTurn[address] {
-			heartbeat := p.Trim(Heartbeat)
+	for _, c := range listed {
+		announced := now-c.changedAt <= announceFor && len(entries) < maxSummaryEntries
+		if c.peer.LedgerToken > 0 || announced || inTurn[c] {
+			heartbeat := c.peer.Trim(Heartbeat)
 			heartbeat.Extension.Leaving = nil
 			entries = append(entries, HostEntry{Digest: *heartbeat, Extension: heartbeat.Extension})
 		}
@@ -655,8 +656,8 @@
 
 // hasNewMember reports whether a host of this zone has a new process.
 func (t *Table) hasNewMember(now time.Duration) bool {
-	for address, c := range t.contacts {
-		if p := t.peers[address]; p != nil && p.Zone == t.self.Zone && now-c.changedAt <= announceFor {
+	for _, c := range t.order {
+		if c.peer != nil && c.peer.Zone == t.self.Zone && now-c.changedAt <= announceFor {
 			return true
 		}
 	}
