place, capacity: learn how fast engines read prompts

The rate is now the slope through the fastest responses to prompts of several lengths, by service; a host that knows none yet takes the former constant. Ruled out: the time that prompts wait (streams starve while first events are on time), running streams alone (they show it only after the collapse).

--- a/internal/gateway/capacity/capacity.go
+++ b/internal/gateway/capacity/capacity.go
@@ -16,8 +16,6 @@
 
 // Parameters of the plan.
 const (
-	// prefillTokensPerSecond is the rate at which an engine reads prompts.
-	prefillTokensPerSecond = 112_000.0
 	// prefillUtilization is the planned share of an engine's time for reading
 	// prompts. The rest is for generating, for bursts, and for the loss of a
 	// zone beyond the one that the plan allows for.
@@ -80,10 +78,7 @@
 
 // Planner decides which upstreams to order. Its methods are called by one goroutine.
 type Planner struct {
-	// demand returns the demand of this host's callers by service.
-	demand interface {
-		Demand() map[string]members.Demand
-	}
+	observed Observations
 	// placed holds the newest order of each key.
 	placed map[orderKey]placedOrder
 	// enoughSince is the boot time since which reclaimable upstreams suffice,
@@ -98,13 +93,19 @@
 
 var _ duty.Planner = (*Planner)(nil)
 
-// NewPlanner returns a planner that has ordered nothing yet. It reads the demand of
-// this host's callers by service from demand.
-func NewPlanner(demand interface {
+// Observations are what this host observes of its callers and of engines.
+type Observations interface {
+	// Demand returns the demand of this host's callers by service.
 	Demand() map[string]members.Demand
-}) *Planner {
+	// PrefillRate returns the number of prompt tokens that an engine of a service
+	// processes per millisecond.
+	PrefillRate(service string) float64
+}
+
+// NewPlanner returns a planner that has ordered nothing yet.
+func NewPlanner(observed Observations) *Planner {
 	return &Planner{
-		demand: demand, placed: map[orderKey]placedOrder{}, enoughSince: map[string]time.Duration{},
+		observed: observed, placed: map[orderKey]placedOrder{}, enoughSince: map[string]time.Duration{},
 		initialNeeds: map[string]int{}, meters: map[string]*meter{}, counters: counters{last: map[processKey]uint64{}},
 	}
 }
@@ -148,7 +149,7 @@
 		m = &meter{}
 		p.meters[service.Name] = m
 	}
-	tokens := p.counters.delta(0, service.Name, p.demand.Demand()[service.Name])
+	tokens := p.counters.delta(0, service.Name, p.observed.Demand()[service.Name])
 	for _, peer := range s.Peers {
 		tokens += p.counters.delta(peer.Incarnation, service.Name, peer.Demand[service.Name])
 	}
@@ -182,7 +183,8 @@
 	if p.discovering(service.Name, now) {
 		p.initialNeeds[service.Name] = max(p.initialNeeds[service.Name], initialNeed(have, len(service.Capacity.ZonePrices)))
 	}
-	need := m.rate / (prefillTokensPerSecond * prefillUtilization)
+	tokensPerSecond := p.observed.PrefillRate(service.Name) * 1000
+	need := m.rate / (tokensPerSecond * prefillUtilization)
 	if service.Engine != nil && service.Engine.Slots > 0 {
 		need = max(need, m.running/(float64(service.Engine.Slots)*slotUtilization))
 	}
--- a/internal/gateway/capacity/capacity_test.go
+++ b/internal/gateway/capacity/capacity_test.go
@@ -13,6 +13,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/duty"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/inflight"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/place"
 )
 
 const step = 100 * time.Millisecond
@@ -46,6 +47,8 @@
 	slots, running int
 	// eventTokens is the number of tokens in an event of a stream.
 	eventTokens int
+	// prefillRate is what the host has learned of the speed of engines.
+	prefillRate float64
 	// rollouts holds the ordered rollouts, and starts when they started.
 	rollouts map[string]catalog.Rollout
 	starts   duty.RolloutStarts
@@ -61,7 +64,7 @@
 func newFleet(count int, pause time.Duration) *cloud {
 	c := &cloud{
 		present: map[string]*catalog.Member{}, listed: map[string]time.Duration{}, ordered: map[string]int{},
-		now: time.Second, spotPrice: 0.15, maxPerZone: max(6, count), slots: 128,
+		now: time.Second, spotPrice: 0.15, maxPerZone: max(6, count), slots: 128, prefillRate: place.DefaultPrefillRate,
 	}
 	c.planner = capacity.NewPlanner(c)
 	for i := range count {
@@ -75,6 +78,22 @@
 	return map[string]members.Demand{"s": {Requests: 1, Tokens: uint64(c.tokens)}}
 }
 
+// PrefillRate implements capacity.Observations.
+func (c *cloud) PrefillRate(string) float64 { return c.prefillRate }
+
+// Load pattern: engines read prompts half as fast as those of other deployments. If
+// the plan took them for as fast, half as many would be left when it is first made.
+func TestSlowEnginesAreMore(t *testing.T) {
+	counts := map[float64]int{}
+	for _, rate := range []float64{56, 112} {
+		c := newFleet(90, 0)
+		c.prefillRate, c.running = rate, 100
+		c.run(40*time.Second, 900_000)
+		counts[rate] = c.count("", true)
+	}
+	require.InEpsilon(t, 2*counts[112], counts[56], 0.1)
+}
+
 // add starts an upstream, which is listed after the startup time and then cold for a
 // while.
 func (c *cloud) add(zone string, spot bool, startup, cold time.Duration) {
--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -120,7 +120,7 @@
 	p.sends++
 	a := &attempt{proxyRequest: p, member: m, conn: conn, sentAt: boottime.Now(), wallSentAt: p.h.Usage.Now()}
 	a.lastReceivedAt = a.sentAt
-	a.inFlight = p.h.InFlight.Begin(m.ID, uncachedTokens(p.call), a.sentAt)
+	a.inFlight = p.h.InFlight.Begin(m.ID, m.Service, uncachedTokens(p.call), a.sentAt)
 	defer func() { a.inFlight.End(boottime.Now()) }()
 	stop := context.AfterFunc(p.r.Context(), func() { _ = conn.Close() })
 	keep, keepAlive, result := a.roundTrip()
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -171,6 +171,9 @@
 
 func (p *proxyRequest) placement(service *catalog.Service) place.Request {
 	request := place.Request{Engine: service.Engine != nil, Zone: p.h.Zone}
+	if request.Engine {
+		request.PrefillRate = p.h.InFlight.PrefillRate(p.service)
+	}
 	if prompt := p.call.Prompt; p.route.Affinity && prompt != nil && len(prompt.Parts) > 1 {
 		request.Prefix = prompt.Parts[len(prompt.Parts)-2].ID
 		request.SharedTokens = prompt.SharedTokens()
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -61,6 +61,9 @@
 		if r.latency == 0 {
 			r.extraLatency = r.attempt.extraLatency()
 			r.latency = boottime.Now() - r.sentAt
+			if r.lastEventID == "" && r.call.LastEventID == "" {
+				r.h.InFlight.RecordFirstEvent(r.service, uncachedTokens(r.call), r.latency, boottime.Now())
+			}
 		}
 		r.recordEvent()
 		r.pending = append(r.pending, event...)
--- a/internal/gateway/inflight/inflight.go
+++ b/internal/gateway/inflight/inflight.go
@@ -33,6 +33,7 @@
 
 // upstream is what this host has observed of one upstream.
 type upstream struct {
+	service          string
 	requests, tokens int
 	// receivedAt is when bytes last came from the upstream, or when a request was
 	// sent to it while it had none in flight.
@@ -62,6 +63,8 @@
 	upstreams map[string]*upstream
 	demand    map[string]members.Demand
 	versions  map[string]members.VersionStats
+	// speeds holds what is known of the speed of each service's engines.
+	speeds map[string]*place.Speed
 	// remoteTokens returns the prompt tokens of other hosts that an upstream has
 	// yet to process.
 	remoteTokens func(id string) int
@@ -72,7 +75,7 @@
 func NewTracker(remoteTokens func(id string) int) *Tracker {
 	return &Tracker{
 		upstreams: map[string]*upstream{}, demand: map[string]members.Demand{},
-		versions: map[string]members.VersionStats{}, remoteTokens: remoteTokens,
+		versions: map[string]members.VersionStats{}, speeds: map[string]*place.Speed{}, remoteTokens: remoteTokens,
 	}
 }
 
@@ -160,11 +163,12 @@
 	ended   bool
 }
 
-// Begin records a request that is sent to an upstream.
-func (t *Tracker) Begin(id string, tokens int, now time.Duration) *Request {
+// Begin records a request that is sent to an upstream of a service.
+func (t *Tracker) Begin(id, service string, tokens int, now time.Duration) *Request {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.get(id, now)
+	u.service = service
 	if u.requests == 0 {
 		u.receivedAt = now
 	}
@@ -198,6 +202,34 @@
 	r.tokens = 0
 }
 
+// RecordFirstEvent records the time from the send of a prompt, of which an engine of a
+// service had to read a number of tokens, to the first event.
+func (t *Tracker) RecordFirstEvent(service string, tokens int, latency, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	speed := t.speeds[service]
+	if speed == nil {
+		speed = &place.Speed{}
+		t.speeds[service] = speed
+	}
+	speed.Record(tokens, latency, now)
+}
+
+// PrefillRate returns the number of prompt tokens that an engine of a service
+// processes per millisecond, as far as this host has learned it.
+func (t *Tracker) PrefillRate(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.prefillRate(service)
+}
+
+func (t *Tracker) prefillRate(service string) float64 {
+	if speed := t.speeds[service]; speed != nil {
+		return speed.Rate()
+	}
+	return place.DefaultPrefillRate
+}
+
 // RecordLatency records a response that was later than expected by lag.
 func (t *Tracker) RecordLatency(id string, lag time.Duration, now time.Duration) {
 	t.mu.Lock()
@@ -266,7 +298,7 @@
 	if now < u.suspectUntil || u.requests == 0 || silence <= silentAfter {
 		return now < u.suspectUntil
 	}
-	prefill := place.PrefillTime(u.tokens + t.remoteTokens(id))
+	prefill := place.PrefillTime(u.tokens+t.remoteTokens(id), t.prefillRate(u.service))
 	return silence > silentAfter+min(prefill, maxPrefillTime)
 }
 
--- a/internal/gateway/place/place.go
+++ b/internal/gateway/place/place.go
@@ -11,9 +11,6 @@
 
 // Costs of a choice, as time that requests lose.
 const (
-	// prefillRate is the number of prompt tokens that an engine processes per
-	// millisecond.
-	prefillRate = 112.0
 	// streamCost is the cost of each running stream for the others on its engine.
 	streamCost = 1500 * time.Microsecond
 	// slotCost is the cost of each running request for the next one at a plain
@@ -61,6 +58,9 @@
 	SharedTokens int
 	Engine       bool
 	Zone         string
+	// PrefillRate is the number of prompt tokens that an engine processes per
+	// millisecond; 0 means DefaultPrefillRate.
+	PrefillRate float64
 }
 
 // Choose returns the index of the best candidate, or -1 if there is none. A
@@ -71,7 +71,7 @@
 // queue costs more than processing the prefix elsewhere.
 func Choose(request Request, candidates []Candidate, random uint64) int {
 	shares := missShares(request, candidates)
-	miss := missCost(request.SharedTokens)
+	miss := missCost(request)
 	best, lowestCost := -1, time.Duration(0)
 	for k := range candidates {
 		i := (k + int(random%uint64(len(candidates)))) % len(candidates)
@@ -93,8 +93,8 @@
 	return costA < costB
 }
 
-func missCost(shared int) time.Duration {
-	return PrefillTime(shared) + time.Duration(shared)*missCostPerToken
+func missCost(r Request) time.Duration {
+	return PrefillTime(r.SharedTokens, r.PrefillRate) + time.Duration(r.SharedTokens)*missCostPerToken
 }
 
 // missShares returns for each candidate the expected fraction of the cost of a
@@ -154,7 +154,7 @@
 		cost += otherZonePenalty
 	}
 	if request.Engine {
-		cost += PrefillTime(c.Tokens) + time.Duration(c.Requests)*streamCost
+		cost += PrefillTime(c.Tokens, request.PrefillRate) + time.Duration(c.Requests)*streamCost
 	} else {
 		cost += time.Duration(c.Requests) * slotCost
 	}
@@ -164,8 +164,11 @@
 	return cost
 }
 
-// PrefillTime returns how long an engine takes to process a number of prompt
-// tokens.
-func PrefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
+// PrefillTime returns how long an engine takes to process a number of prompt tokens
+// at a rate per millisecond; 0 means DefaultPrefillRate.
+func PrefillTime(tokens int, rate float64) time.Duration {
+	if rate <= 0 {
+		rate = DefaultPrefillRate
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
 }
