forward: a caller that does not read holds its request no longer than its deadline

A write to a caller had no time limit: a stream whose caller reads nothing kept its upstream, its goroutines and its buffers until the caller closed the connection. Writes now fail 2 s after the request's deadline; ready answers are still delivered late by that much. Test: TestCallerThatDoesNotReadHoldsNothing, which fails on the former program. Tests besides, which passed before too: slow sound streams are not cut, streams of single bytes end at the deadline or go on at another worker.

--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -42,6 +42,9 @@
 const (
 	// defaultTimeout applies to requests without a deadline of the caller.
 	defaultTimeout = 15 * time.Second
+	// writeGrace is how long after its deadline a response may still be written to
+	// a slow caller.
+	writeGrace = 2 * time.Second
 	// defaultMaxBodyBytes bounds bodies while the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -165,6 +168,7 @@
 	call, err := h.Codec.DecodeCall(r)
 	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}, buffers: bodyBuffers{memory: h.bodies}}
 	defer p.buffers.release()
+	p.boundWrites(call.Arrived + defaultTimeout)
 	h.lastRequestAt.Store(int64(call.Arrived))
 	if stop := h.stopping.Load(); stop != nil {
 		w.Header().Set("Connection", "close")
@@ -206,9 +210,19 @@
 		}
 	}
 	p.deadline = p.call.Arrived + p.timeout()
+	p.boundWrites(p.deadline)
 	return p.admitWhileStopping(now)
 }
 
+// boundWrites makes writes to the caller fail from writeGrace after a deadline on, so
+// that a caller that does not read holds nothing longer. The bound stays on the
+// connection until its next request.
+func (p *proxyRequest) boundWrites(deadline time.Duration) {
+	until := time.Now().Add(deadline - boottime.Now() + writeGrace)
+	// Without deadlines, as in tests, only the caller's own time limits apply.
+	_ = http.NewResponseController(p.w).SetWriteDeadline(until)
+}
+
 // admitWhileStopping refuses requests that a stopping host might not finish in
 // time. It reports whether the request is admitted.
 func (p *proxyRequest) admitWhileStopping(now time.Duration) bool {
