--- a/internal/gateway/members/tree.go
+++ b/internal/gateway/members/tree.go
@@ -370,11 +370,10 @@
 
 // RecordOwn records the digest that this host sends of itself.
 func (t *Table) RecordOwn(d *Digest, now time.Duration) {
-	own := append(t.tree.own, ownReport{at: now, inFlight: d.InFlight, used: d.QuotaUsed})
-	for len(own) > 1 && now-own[1].at >= ownDelay {
-		own = own[1:]
+	t.tree.own = append(t.tree.own, ownReport{at: now, inFlight: d.InFlight, used: d.QuotaUsed})
+	for len(t.tree.own) > 1 && now-t.tree.own[1].at >= ownDelay {
+		t.tree.own = t.tree.own[1:]
 	}
-	t.tree.own = own
 }
 
 // reportedOwn returns what this host reported of itself about ownDelay ago.
--- a/internal/gateway/members/tree_test.go
+++ b/internal/gateway/members/tree_test.go
@@ -360,7 +360,7 @@
 	require.NoError(f, err)
 	f.Add(data)
 	f.Add([]byte{0x81, 0xa3, 'h', 'u', 'b', 0xdd, 0xff, 0xff, 0xff, 0xff})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		if summary, err := members.DecodeSummary(data); err == nil {
 			members.NewTable(members.Self{Address: "self"}).ReceiveSummary(summary, time.Second)
 		}
--- a/internal/gateway/options/options.go
+++ b/internal/gateway/options/options.go
@@ -150,16 +150,19 @@
 			fault(path, "want a duration above 0")
 		}
 	}
-	if o.Strength < 0 {
-		fault("/strength", "want a number of at least 0")
-	}
-	for path, value := range map[string]float64{"/quotaTolerance/excess": o.QuotaTolerance.Excess, "/quotaTolerance/slack": o.QuotaTolerance.Slack} {
+	return append(faults, o.checkOptional(parsed)...)
+}
+
+// checkOptional checks the values that may be left out.
+func (o *Options) checkOptional(parsed *jsonc.Document) jsonc.Faults {
+	var faults jsonc.Faults
+	for path, value := range map[string]float64{
+		"/strength": o.Strength, "/quotaTolerance/excess": o.QuotaTolerance.Excess, "/quotaTolerance/slack": o.QuotaTolerance.Slack,
+		"/quotaTolerance/window": o.QuotaTolerance.Window.D().Seconds(),
+	} {
 		if value < 0 {
-			fault(path, "want a number of at least 0")
+			faults = append(faults, parsed.Fault(path, "want at least 0"))
 		}
 	}
-	if o.QuotaTolerance.Window.D() < 0 {
-		fault("/quotaTolerance/window", "want a duration of at least 0")
-	}
 	return faults
 }
