duty: a ledger of many processes is packed

195 hosts with four open windows fill 195 KB of a record of 256 KB, and when all of them start again within these windows the counts of both processes are in it: the write fails, and usage is not reported. Former builds pass over the packed counts. Ruled out: sums instead of counts by process; a digest may be read again by the next holder, which could then not tell what is counted already.

--- a/internal/gateway/duty/ledger.go
+++ b/internal/gateway/duty/ledger.go
@@ -80,6 +80,9 @@
 	// OpenCounts holds the counts of windows without a report, by window and
 	// incarnation of the counting process.
 	OpenCounts map[int64]map[uint64]Counts `json:"open,omitempty"`
+	// Packed holds OpenCounts in its stored form where there are many; it is empty
+	// otherwise. A former build passes over it.
+	Packed []byte `json:"packed,omitempty"`
 	// Rollouts holds the progress of rollouts by service.
 	Rollouts map[string]rollout.Progress `json:"moves,omitempty"`
 }
@@ -104,11 +107,25 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return Ledger{}, eris.Wrap(ErrLedger, err.Error())
 	}
+	if len(l.Packed) > 0 {
+		open, err := unpackCounts(l.Packed)
+		if err != nil {
+			return Ledger{}, err
+		}
+		l.OpenCounts, l.Packed = open, nil
+	}
 	return l, nil
 }
 
 // Encode returns the ledger as JSON. Errors wrap ErrLedger.
 func (l Ledger) Encode() ([]byte, error) {
+	if l.processes() > maxPlainProcesses {
+		packed, err := packCounts(l.OpenCounts)
+		if err != nil {
+			return nil, err
+		}
+		l.Packed, l.OpenCounts = packed, nil
+	}
 	data, err := json.Marshal(l)
 	if err != nil {
 		return nil, eris.Wrap(ErrLedger, err.Error())
