gateway: a host reads the log as soon as it knows that it is to

Cause: a new host no longer reads before it has found its peers, and looked only every 0.2 s whether it is to read. Test: TestHostReadsAsSoonAsItIsTo.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -21,16 +21,17 @@
 	operatorPollTimeout = 350 * time.Millisecond
 	// upstreamReadInterval is the pause between two reads of reports.
 	upstreamReadInterval = 700 * time.Millisecond
-	// roleCheckInterval is the pause between two checks whether this host is to
-	// read the log.
-	roleCheckInterval = 200 * time.Millisecond
+	// roleCheckInterval is the pause between two checks which host is to read the
+	// log.
+	roleCheckInterval = 100 * time.Millisecond
 	// minReadBackoff is the pause after the first failed read.
 	minReadBackoff = 150 * time.Millisecond
 	// maxReadBackoff bounds the pause after consecutive failed reads.
 	maxReadBackoff = 600 * time.Millisecond
-	// maxDiscoveryWait bounds the time for which a new host waits for its peers
-	// before it reads the log, and peerCheckInterval is the pause between two
-	// checks. In a small fleet it waits only until it knows their addresses.
+	// addressesWait bounds the time for which a new host waits for the addresses
+	// of its peers before it reads the log, and in a larger fleet maxDiscoveryWait
+	// that for the peers; peerCheckInterval is the pause between two checks.
+	addressesWait     = 120 * time.Millisecond
 	maxDiscoveryWait  = 400 * time.Millisecond
 	peerCheckInterval = 10 * time.Millisecond
 	// retryPauseStep is the pause per host of the fleet between two reads by a
@@ -92,9 +93,8 @@
 func (g *Gateway) readLog(ctx context.Context, name string, read func(context.Context) (time.Duration, []error, error)) {
 	log := &dependency{g: g, name: name}
 	for ctx.Err() == nil {
-		if !g.readsLog() {
-			sleep(ctx, roleCheckInterval)
-			continue
+		if !g.awaitRole(ctx) {
+			return
 		}
 		pause, decodeErrs, err := read(ctx)
 		if err != nil {
@@ -107,8 +107,33 @@
 	}
 }
 
-// readsLog reports whether this host is to read the log directly.
-func (g *Gateway) readsLog() bool { return g.source.Load().ReadsLog }
+// awaitRole waits until this host is to read the log directly. It reports false if the
+// context ends first.
+func (g *Gateway) awaitRole(ctx context.Context) bool {
+	for {
+		changed := *g.sourceChanged.Load()
+		if g.source.Load().ReadsLog {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// setSource sets where this host gets its view from, and wakes those that wait for
+// it. It reports whether that is a change.
+func (g *Gateway) setSource(source relay.Source) bool {
+	previous := g.source.Swap(&source)
+	if *previous == source {
+		return false
+	}
+	next := make(chan struct{})
+	close(*g.sourceChanged.Swap(&next))
+	return true
+}
 
 // failureBackoff returns the pause after a failed read of the log. Followers
 // that read beside their reader wait longer the more hosts there are, so that a
@@ -132,7 +157,7 @@
 		requestedAt := boottime.Now()
 		age := g.viewAge(requestedAt)
 		source := selector.Select(g.readerCandidates(), age, requestedAt)
-		if previous := g.source.Swap(&source); *previous != source {
+		if g.setSource(source) {
 			g.events.Emit(eventSourceChanged, zap.String("reader", source.Reader), zap.Bool("reads", source.ReadsLog), zap.Duration("age", age))
 		}
 		reader := source.Reader
@@ -164,6 +189,9 @@
 	start := boottime.Now()
 	for ctx.Err() == nil && boottime.Now()-start < maxDiscoveryWait {
 		found := g.discovered.Load()
+		if found == nil && boottime.Now()-start >= addressesWait {
+			return
+		}
 		if found != nil && (*found < members.MaxMeshHosts || len(g.loop.Snapshot().Peers) >= *found/2) {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,8 @@
 	discovered atomic.Pointer[int]
 	// source is where this host reads the log: directly or through a reader.
 	source atomic.Pointer[relay.Source]
+	// sourceChanged is closed and replaced when source changes.
+	sourceChanged atomic.Pointer[chan struct{}]
 
 	stopping atomic.Bool
 	// versionShares holds the rollout shares by service: the share of its
@@ -158,6 +160,8 @@
 		usage: usage.NewCounter(o.UsageWindow.D()), stats: &forward.Stats{}, peerSequences: map[uint64]uint64{},
 	}
 	g.source.Store(&relay.Source{})
+	changed := make(chan struct{})
+	g.sourceChanged.Store(&changed)
 	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, g)
 	g.inFlight = inflight.NewTracker(g.remoteTokens)
 	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit}
