--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -1,9 +1,9 @@
 // Package poison holds requests that crash the upstreams that run them.
 //
 // Hosts report the requests that were lost with an upstream to the coordinator
-// of the service, a live host chosen by rendezvous hashing. Only it decides: the
-// losses of one host alone look like those of a crash where all upstreams restarted
-// and a request was sent on from one to the next. The coordinator adds up the
+// of the service, a live host chosen by rendezvous hashing. Only the coordinator
+// holds requests. One host's own losses can mislead: when all upstreams restart, a
+// request that is retried may be lost twice. The coordinator adds up the
 // weights of a request's losses and holds the request of a crash with the highest
 // sum: from holdWeight if no other request of the crash has the same sum, from
 // tieWeight in any case. A complete response clears a request. A loss does not
@@ -288,9 +288,8 @@
 }
 
 // evaluateDue evaluates the crashes whose evaluationDelay has passed. Correlated
-// crashes lose their weights instead. Where losses at other hosts may be missing,
-// a crash cannot be told from a correlated one; its weights then count only in
-// later crashes.
+// crashes lose their weights instead. Where reports of other hosts may be missing,
+// the crash holds no request now; its weights count in later crashes.
 func (m *Machine) evaluateDue(now time.Time) []control.Output {
 	var outs []control.Output
 	for _, c := range m.crashes {
--- a/internal/gateway/advisory/advisory.go
+++ b/internal/gateway/advisory/advisory.go
@@ -55,7 +55,8 @@
 // record is what is kept of an instance.
 type record struct {
 	leaving bool
-	// own is set when the instance told this host that it leaves, not a peer.
+	// own is set when the instance told this host itself that it leaves; otherwise
+	// this host knows it from a peer.
 	own         bool
 	pausedUntil time.Duration
 	// listedAt is the boot time at which the instance was last listed, or first
@@ -92,8 +93,8 @@
 	t.records.Store(&records)
 }
 
-// Leave records that an instance told this host that it leaves. It reports
-// whether that was unknown.
+// Leave records a response to this host in which an instance says that it leaves. It
+// reports whether this host did not know that yet.
 func (t *Table) Leave(i Instance, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,7 +140,8 @@
 	return State{Leaving: r.leaving, PausedFor: max(r.pausedUntil-now, 0)}
 }
 
-// Leaving returns the instances that told this host that they leave, for peers.
+// Leaving returns what this host reports to its peers: the instances that leave
+// according to their responses to this host.
 func (t *Table) Leaving() []Instance {
 	var leaving []Instance
 	for i, r := range *t.records.Load() {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -182,9 +182,8 @@
 	}
 }
 
-// awaitPeers waits until this host has heard of most other hosts, so that a new host
-// of a larger fleet follows a reader from the start, but not for long: there may be
-// no other hosts.
+// awaitPeers waits, for at most maxDiscoveryWait, until this host has heard most other
+// hosts. A new host of a larger fleet then follows a reader from the start.
 func (g *Gateway) awaitPeers(ctx context.Context) {
 	start := boottime.Now()
 	for ctx.Err() == nil && boottime.Now()-start < maxDiscoveryWait {
