--- a/internal/gateway/members/members.go
+++ b/internal/gateway/members/members.go
@@ -87,7 +87,7 @@
 	shownAt time.Duration
 	// aliveUntil is the time from which the host counts as down.
 	aliveUntil time.Duration
-	// changedAt is when a new process was first seen.
+	// changedAt is when the host's present process was first heard.
 	changedAt time.Duration
 	// sentAt, loadAt and fullAt are when a digest, one with the load, and a full one
 	// was last sent, and summaryAt when a summary was.
--- a/internal/gateway/members/tree.go
+++ b/internal/gateway/members/tree.go
@@ -110,7 +110,8 @@
 	summaries map[string]received
 	// own holds recent reports of this host, oldest first.
 	own []ownReport
-	// ownCounted is what this host is known to have used itself in uses.
+	// ownCounted is this host's own use, by customer, that was subtracted from the
+	// fleet's totals in peerUse.
 	ownCounted map[string]float64
 	// zoneUse is what other hosts of the zone used while this host was a hub.
 	zoneUse map[string]float64
