--- a/internal/gateway/forward/buffer.go
+++ b/internal/gateway/forward/buffer.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"sync"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -23,6 +25,9 @@
 	// firstBufferBytes is the size of the first buffer of a body, whatever length
 	// its head states: the sender may never send it.
 	firstBufferBytes = 4 << 10
+	// pieceBytes is the size of the pieces in which the rest of a longer body is
+	// read.
+	pieceBytes = 64 << 10
 )
 
 var (
@@ -40,33 +45,73 @@
 	taken  int64
 }
 
+// pieces holds pieces that are not in use: a body that does not end leaves no
+// garbage, of which the collector would let as much gather as is in use.
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
 // readAll reads a body to its end. It returns errTooLong if the body has more than
 // limit bytes, and errNoMemory if there is no memory for it.
 func (b *bodyBuffers) readAll(body io.Reader, limit int) ([]byte, error) {
 	if err := b.take(firstBufferBytes); err != nil {
 		return nil, err
 	}
-	buf := make([]byte, 0, firstBufferBytes)
-	for {
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+	first := make([]byte, firstBufferBytes)
+	n, err := fill(first, body)
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		return nil, err
+	case n > limit:
+		return nil, errTooLong
+	case err == nil:
+		return b.readPieces(first, body, limit)
+	}
+	return first[:n], nil
+}
+
+// readPieces reads the rest of a body and returns the whole body.
+func (b *bodyBuffers) readPieces(first []byte, body io.Reader, limit int) ([]byte, error) {
+	var used []*[pieceBytes]byte
+	defer func() {
+		for _, piece := range used {
+			pieces.Put(piece)
+		}
+		b.give(len(used) * pieceBytes)
+	}()
+	parts := [][]byte{first}
+	for size := len(first); ; {
+		if err := b.take(pieceBytes); err != nil {
+			return nil, err
+		}
+		piece := pieces.Get().(*[pieceBytes]byte)
+		used = append(used, piece)
+		n, err := fill(piece[:], body)
+		parts = append(parts, piece[:n])
+		size += n
 		switch {
-		case len(buf) > limit:
+		case err != nil && !errors.Is(err, io.EOF):
+			return nil, err
+		case size > limit:
 			return nil, errTooLong
-		case errors.Is(err, io.EOF):
-			return buf, nil
 		case err != nil:
-			return nil, err
-		}
-		if len(buf) == cap(buf) {
-			if err := b.take(cap(buf)); err != nil {
+			if err := b.take(size); err != nil {
 				return nil, err
 			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+			return bytes.Join(parts, nil), nil
 		}
 	}
 }
 
+// fill reads until buf is full or the body fails. The error is the body's own: as
+// io.ReadFull reports it, a body that has ended looks like one that was cut off.
+func fill(buf []byte, body io.Reader) (n int, err error) {
+	for n < len(buf) && err == nil {
+		var read int
+		read, err = body.Read(buf[n:])
+		n += read
+	}
+	return n, err
+}
+
 func (b *bodyBuffers) take(n int) error {
 	if !b.memory.TryAcquire(int64(n)) {
 		return errNoMemory
@@ -75,8 +120,12 @@
 	return nil
 }
 
+func (b *bodyBuffers) give(n int) {
+	b.memory.Release(int64(n))
+	b.taken -= int64(n)
+}
+
 // release gives the memory back. The bodies must not be used any more.
 func (b *bodyBuffers) release() {
-	b.memory.Release(b.taken)
-	b.taken = 0
+	b.give(int(b.taken))
 }
