capacity: keep on-demand upstreams until reclaimable ones can replace them

After a rollout in which all reclaimable ones were reclaimed, it wanted 30 reclaimable ones in each zone, which were not to be had, and reserved their room: the limit of a zone is 30 for both kinds together, so that it ordered 0 on-demand ones, and 72 of 76 engines were released in one second.

Now a zone's room for on-demand ones is what reclaimable ones that run or are starting leave, and reclaimable ones are ordered as far as on-demand ones leave room. The test's cloud refuses orders beyond the limit; the new test fails on the former plan with 8 upstreams where 50 are needed.

--- a/internal/gateway/capacity/capacity.go
+++ b/internal/gateway/capacity/capacity.go
@@ -252,7 +252,8 @@
 	spot := spotPerZone(service.Capacity, addStallMargin(service, need), len(zones))
 	var orders []duty.Order
 	for _, zone := range zones {
-		orders = p.appendOrder(orders, have, service, zone, true, spot, now)
+		free := service.Capacity.Max - p.expected(have, service, orderKey{service.Name, zone, false}, now)
+		orders = p.appendOrder(orders, have, service, zone, true, min(spot, max(free, 0)), now)
 	}
 	onDemand, known := p.onDemandPerZone(have, service, zones, need, spot, now)
 	if !known {
@@ -329,6 +330,9 @@
 //
 // Load pattern: ninety upstreams that were started together register over several
 // seconds, and the first plan is made when only some of them are listed.
+//
+// Scenario: a zone may have thirty upstreams, all of which are wanted as reclaimable
+// ones, and none of those are available. On-demand ones are not released to make room.
 func (p *Planner) onDemandPerZone(have inventory, service *catalog.Service, zones []string, need, spot int, now time.Duration) (map[string]int, bool) {
 	if p.discovering(service.Name, now) {
 		return nil, false
@@ -350,12 +354,14 @@
 	} else {
 		delete(p.enoughSince, service.Name)
 	}
-	room := service.Capacity.Max - spot
-	for round := 0; round < room && short > 0; round++ {
+	for added := true; added && short > 0; {
+		added = false
 		for _, zone := range zones {
-			if short > 0 {
+			free := service.Capacity.Max - p.expected(have, service, orderKey{service.Name, zone, true}, now)
+			if short > 0 && wanted[zone] < free {
 				wanted[zone]++
 				short--
+				added = true
 			}
 		}
 	}
@@ -367,6 +373,17 @@
 	return wanted, true
 }
 
+// expected returns the number of upstreams of a kind in a zone that run or were ordered
+// and may still be starting or ending. The limit of a zone applies to both kinds
+// together.
+func (p *Planner) expected(have inventory, service *catalog.Service, key orderKey, now time.Duration) int {
+	last, ordered := p.placed[key]
+	if ordered && last.outcome == duty.Done && now-last.at < service.Capacity.Startup+reorderDelay {
+		return last.count
+	}
+	return have.running[key]
+}
+
 // appendOrder appends an order for count upstreams unless they exist without an order,
 // were ordered and exist or may still be starting, or the last order of the same kind
 // and zone is too recent to be changed or retried.
--- a/internal/gateway/capacity/capacity_test.go
+++ b/internal/gateway/capacity/capacity_test.go
@@ -161,6 +161,9 @@
 	if o.Spot && c.now < c.spotUnavailableUntil && o.Count > c.count(o.Zone, true) {
 		return duty.Refused
 	}
+	if o.Count > c.count(o.Zone, o.Spot) && o.Count+c.count(o.Zone, !o.Spot) > c.maxPerZone {
+		return duty.Refused
+	}
 	for c.count(o.Zone, o.Spot) < o.Count {
 		c.add(o.Zone, o.Spot, 4*time.Second, 3*time.Second)
 	}
@@ -294,6 +297,23 @@
 	require.Zero(t, c.count("", false), "on-demand upstreams are released")
 }
 
+// Scenario: a zone's limit is the number of reclaimable upstreams that are wanted there,
+// and none are available for some time: after a rollout in which all of them were
+// reclaimed, or before any was started. As many on-demand ones as are needed stay until then.
+func TestOnDemandUpstreamsStayUntilReclaimableOnesAreAvailable(t *testing.T) {
+	c := newFleet(76, 0)
+	c.maxPerZone, c.slots = 30, 48
+	c.spotUnavailableUntil = c.now + 25*time.Second
+	// The plan uses a quarter of the engines' time, and is short of three in ten until
+	// reclaimable ones are available.
+	const demand, atLeast = 2_000_000, 2_000_000 / (place.DefaultPrefillRate * 1000 * 0.25) * 0.7
+	for range 850 {
+		c.run(step, demand)
+		require.GreaterOrEqual(t, float64(c.usable()), atLeast, "at %s", c.now)
+	}
+	require.Zero(t, c.count("", false))
+}
+
 func TestRefusedOrdersAreNotRepeatedAtOnce(t *testing.T) {
 	c := newCloud()
 	c.run(40*time.Second, 100_000)
