duties: a call is not sent after its permission has run out

Reported by operators of similar systems: a process that had been paused acted on a permission that had run out.

Ruled out: the ledger's own writes (conditional on the offset of the log).

Calls carry the boot time until which they are permitted.

--- a/internal/gateway/duty/calls.go
+++ b/internal/gateway/duty/calls.go
@@ -17,7 +17,7 @@
 		if d.reported[window] || wall.After(d.Usage.WindowEnd(window).Add(reportDeadline)) || !d.mayAct() {
 			continue
 		}
-		outcome, err := d.Cloud.ReportUsage(ctx, d.ledger.Token, Report{Window: window, Counts: counts})
+		outcome, err := d.Cloud.ReportUsage(ctx, d.grant(), Report{Window: window, Counts: counts})
 		if outcome == Done {
 			d.reported[window] = true
 			d.Events.Emit(eventReported, zap.Int64("window", window), zap.Any("counts", counts), zap.Int64("token", d.ledger.Token))
@@ -49,7 +49,7 @@
 		if !d.mayAct() {
 			return
 		}
-		outcome, err := d.Cloud.OrderCapacity(ctx, d.ledger.Token, o)
+		outcome, err := d.Cloud.OrderCapacity(ctx, d.grant(), o)
 		d.Planner.Ordered(o, outcome, d.Clock.Now())
 		if outcome == Done {
 			d.Events.Emit(eventOrdered, zap.String("service", o.Service), zap.String("zone", o.Zone),
--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -366,7 +366,11 @@
 // mayAct reports whether the ledger was written recently enough that no other host
 // can hold the duties.
 func (d *Driver) mayAct() bool {
-	return d.held && d.Clock.Now()-d.writtenAt < actWithin
+	return d.held && d.Clock.Now() < d.grant().Until
+}
+
+func (d *Driver) grant() Grant {
+	return Grant{Token: d.ledger.Token, Until: d.writtenAt + actWithin}
 }
 
 // firstUnsettled returns the first window whose counts may still change. It waits
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -145,8 +145,12 @@
 }
 
 // ReportUsage implements duty.Cloud.
-func (h *host) ReportUsage(_ context.Context, token int64, report duty.Report) (duty.Outcome, error) {
+func (h *host) ReportUsage(_ context.Context, grant duty.Grant, report duty.Report) (duty.Outcome, error) {
 	sim := h.sim
+	token := grant.Token
+	if sim.now >= grant.Until || grant.Until > sim.now+lease {
+		sim.violation = fmt.Sprintf("call at %v with a permission until %v", sim.now, grant.Until)
+	}
 	sim.checkCall(h, token)
 	if token < sim.fence {
 		return duty.Refused, fmt.Errorf("a higher fence was seen")
@@ -164,7 +168,7 @@
 }
 
 // OrderCapacity implements duty.Cloud.
-func (h *host) OrderCapacity(context.Context, int64, duty.Order) (duty.Outcome, error) {
+func (h *host) OrderCapacity(context.Context, duty.Grant, duty.Order) (duty.Outcome, error) {
 	return duty.Done, nil
 }
 
--- a/internal/gateway/duty/ledger.go
+++ b/internal/gateway/duty/ledger.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -50,10 +51,19 @@
 	Refused
 )
 
-// Cloud receives the calls of the holder of the duties, each with its fencing token.
+// Grant is the permission to act as holder of the duties.
+type Grant struct {
+	// Token is the fencing token.
+	Token int64
+	// Until is the boot time from which the call must not be sent: another host may
+	// hold the duties then, and not every API checks tokens.
+	Until time.Duration
+}
+
+// Cloud receives the calls of the holder of the duties.
 type Cloud interface {
-	ReportUsage(ctx context.Context, token int64, report Report) (Outcome, error)
-	OrderCapacity(ctx context.Context, token int64, order Order) (Outcome, error)
+	ReportUsage(ctx context.Context, grant Grant, report Report) (Outcome, error)
+	OrderCapacity(ctx context.Context, grant Grant, order Order) (Outcome, error)
 }
 
 // Counts holds numbers of requests by customer.
