--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -8,15 +8,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
 	"github.com/marigoldmux/marigoldmux/internal/control/config"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
 	"github.com/marigoldmux/marigoldmux/internal/document"
@@ -31,9 +28,6 @@
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
 	"github.com/marigoldmux/marigoldmux/internal/standin"
-	"github.com/marigoldmux/marigoldmux/internal/upstream"
-	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
-	"github.com/marigoldmux/marigoldmux/internal/upstream/plain"
 )
 
 // errUnreachable is returned by calls to or from a dead or partitioned host.
@@ -79,21 +73,6 @@
 	partitions map[[2]string]bool
 }
 
-// Node is one entry host of a cluster.
-type Node struct {
-	*host.Host
-	cluster *Cluster
-
-	mu      sync.Mutex
-	dead    bool
-	resumed chan struct{}
-	// logDown is set while this host cannot reach the log service.
-	logDown bool
-	// lifetime is cancelled when the host is killed or stopped.
-	lifetime context.Context
-	cancel   context.CancelFunc
-}
-
 // Start starts a cluster and returns when all hosts have the configuration and
 // list each other. It must be called inside a synctest bubble; the test must
 // call Close before the bubble ends.
@@ -268,195 +247,4 @@
 	return nil, errUnreachable
 }
 
-// Kill ends the host without a drain; the connections of its callers, peers and
-// upstreams break.
-func (n *Node) Kill() {
-	n.mu.Lock()
-	dead := n.dead
-	n.dead = true
-	n.mu.Unlock()
-	if !dead {
-		n.cancel()
-		n.Resume()
-		n.Host.Kill()
-	}
-}
-
-// Stop stops the host gracefully.
-func (n *Node) Stop(ctx context.Context) error {
-	err := n.Host.Stop(ctx)
-	n.mu.Lock()
-	n.dead = true
-	n.mu.Unlock()
-	n.cancel()
-	return err
-}
-
-// done returns a context that is cancelled when the host is killed or stopped.
-func (n *Node) done() context.Context { return n.lifetime }
-
-func (n *Node) isDead() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.dead
-}
-
-// Pause blocks the host's incoming calls and its calls to the log service, peers
-// and upstreams (only Generate, Next and Call) until Resume is called.
-func (n *Node) Pause() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.resumed == nil {
-		n.resumed = make(chan struct{})
-	}
-}
-
-// Resume ends a pause.
-func (n *Node) Resume() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.resumed != nil {
-		close(n.resumed)
-		n.resumed = nil
-	}
-}
-
-// SetLogUnreachable cuts or restores the link from this host to the log service.
-func (n *Node) SetLogUnreachable(down bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.logDown = down
-}
-
-func (n *Node) logUnreachable() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.logDown
-}
-
-// gate blocks while the host is paused. It fails if the host is dead or if ctx
-// ends during the pause.
-func (n *Node) gate(ctx context.Context) error {
-	n.mu.Lock()
-	resumed, dead := n.resumed, n.dead
-	n.mu.Unlock()
-	if dead {
-		return errUnreachable
-	}
-	if resumed == nil {
-		return nil
-	}
-	select {
-	case <-resumed:
-		return n.gate(ctx)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// Do sends an HTTP request to the host and returns the complete response, or an
-// empty recorder if the host is dead or ctx ends during a pause.
-func (n *Node) Do(ctx context.Context, method, path, body string, header map[string]string) *httptest.ResponseRecorder {
-	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
-	recorder := httptest.NewRecorder()
-	if n.gate(ctx) == nil {
-		n.Handler().ServeHTTP(recorder, req)
-	}
-	return recorder
-}
-
-// gatedLog is the log service as seen by one host.
-type gatedLog struct{ n *Node }
-
-func (l *gatedLog) Append(ctx context.Context, stream, id string, data []byte) (int64, error) {
-	if l.n.gate(ctx) != nil || l.n.logUnreachable() {
-		return 0, logsvc.ErrUnavailable
-	}
-	return l.n.cluster.Log.Append(ctx, stream, id, data)
-}
-
-func (l *gatedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error) {
-	if l.n.gate(ctx) != nil || l.n.logUnreachable() {
-		return logsvc.Page{}, logsvc.ErrUnavailable
-	}
-	page, err := l.n.cluster.Log.Read(ctx, stream, from, limit, wait)
-	if l.n.logUnreachable() {
-		return logsvc.Page{}, logsvc.ErrUnavailable
-	}
-	return page, err
-}
-
-// dialer creates the clients of one host.
-type dialer struct{ n *Node }
-
 var _ dial.Dialer = (*dialer)(nil)
-
-// Engine implements dial.Dialer.
-func (d *dialer) Engine(address string) engine.Engine {
-	d.n.cluster.mu.Lock()
-	defer d.n.cluster.mu.Unlock()
-	return &gatedEngine{Engine: d.n.cluster.Engines[address], n: d.n}
-}
-
-// Plain implements dial.Dialer.
-func (d *dialer) Plain(address string) plain.Service {
-	d.n.cluster.mu.Lock()
-	defer d.n.cluster.mu.Unlock()
-	return &gatedPlain{Service: d.n.cluster.Plains[address], n: d.n}
-}
-
-// Peer implements dial.Dialer.
-func (d *dialer) Peer(address string) peerv1connect.PeerServiceClient {
-	return &peerClient{node: d.n, to: address}
-}
-
-type gatedEngine struct {
-	engine.Engine
-	n *Node
-}
-
-// Generate implements engine.Engine.
-func (e *gatedEngine) Generate(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
-	if err := e.n.gate(ctx); err != nil {
-		return nil, &upstream.Failure{Kind: upstream.NotSent, Err: err}
-	}
-	stream, err := e.Engine.Generate(ctx, req)
-	if err != nil {
-		return nil, err
-	}
-	return &gatedStream{Stream: stream, n: e.n, ctx: ctx}, nil
-}
-
-type gatedStream struct {
-	engine.Stream
-	n   *Node
-	ctx context.Context
-}
-
-// Next implements engine.Stream.
-func (s *gatedStream) Next() (engine.Chunk, error) {
-	if err := s.n.gate(s.ctx); err != nil {
-		return engine.Chunk{}, &upstream.Failure{Kind: upstream.Lost, Err: err}
-	}
-	return s.Stream.Next()
-}
-
-type gatedPlain struct {
-	plain.Service
-	n *Node
-}
-
-// Call implements plain.Service.
-func (p *gatedPlain) Call(ctx context.Context, call plain.Call) (plain.Response, error) {
-	if err := p.n.gate(ctx); err != nil {
-		return plain.Response{}, &upstream.Failure{Kind: upstream.NotSent, Err: err}
-	}
-	answer, err := p.Service.Call(ctx, call)
-	if gateErr := p.n.gate(ctx); gateErr != nil {
-		return plain.Response{}, &upstream.Failure{Kind: upstream.Lost, Err: gateErr}
-	}
-	return answer, err
-}
