relay: few hosts read the log first when the readers are cut off

Now the next hosts by rank, two for each reader, read the log when views are 1.3 s old, and the others follow them; all read it from 1.9 s on. Reads wait 0.1 s in place of 0.35 s while the view is old, so that a view that is fresh again is known in time. Test: 195 hosts, 8 read the log where all did. Also found by it: a host that began as a reader never counted as having had a view, and so waited a second for the next.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -15,10 +15,6 @@
 
 // Timing of reads of the log.
 const (
-	// operatorPollTimeout is how long a read waits for changes by operators. A
-	// read confirms the configuration as of the time of its request, so the age
-	// of the view reaches up to twice this time.
-	operatorPollTimeout = 350 * time.Millisecond
 	// upstreamReadInterval is the pause between two reads of reports.
 	upstreamReadInterval = 700 * time.Millisecond
 	// roleCheckInterval is the pause between two checks which host is to read the
@@ -69,7 +65,7 @@
 func (g *Gateway) readOperator(ctx context.Context) (time.Duration, []error, error) {
 	from, _ := g.updates.copy.Offsets()
 	requestedAt := boottime.Now()
-	update, decodeErrs, err := g.ports.Feed.ReadOperator(ctx, from, operatorPollTimeout)
+	update, decodeErrs, err := g.ports.Feed.ReadOperator(ctx, from, relay.Wait(g.viewAge(requestedAt)))
 	if err != nil || update.Next < from {
 		return minReadBackoff, decodeErrs, err
 	}
@@ -166,7 +162,7 @@
 			continue
 		}
 		operator, upstreams := g.updates.copy.Offsets()
-		resp, err := client.Read(ctx, reader, relay.Request{Operator: operator, Upstreams: upstreams, Wait: relay.MaxWait})
+		resp, err := client.Read(ctx, reader, relay.Request{Operator: operator, Upstreams: upstreams, Wait: relay.Wait(age)})
 		if err != nil {
 			selector.MarkFailed(reader, boottime.Now())
 			lost[reader] = true
--- a/internal/gateway/relay/rpc.go
+++ b/internal/gateway/relay/rpc.go
@@ -20,7 +20,9 @@
 
 // Timeouts and sizes of requests.
 const (
-	// MaxWait is how long a reader waits for changes before it responds.
+	// MaxWait is how long a reader, or a read of the log, waits for changes. A read
+	// of the log confirms the configuration as of the time of its request, so the age
+	// of the view reaches up to twice this time.
 	MaxWait = 350 * time.Millisecond
 	// responseMargin is how long a follower waits for a response beyond
 	// Request.Wait.
--- a/internal/gateway/relay/source.go
+++ b/internal/gateway/relay/source.go
@@ -15,6 +15,9 @@
 	minReaders = 2
 	// hostsPerReader is the number of hosts for each reader in larger fleets.
 	hostsPerReader = 64
+	// backupsPerReader is the number of hosts for each reader of a larger fleet that
+	// read the log first when the readers' views are old.
+	backupsPerReader = 2
 )
 
 // readerKey is the rendezvous hashing key that ranks hosts as readers.
@@ -26,8 +29,13 @@
 	// directly. Views from a healthy reader are younger; changes by operators and
 	// upstreams must be in effect within two seconds.
 	maxViewAge = 1300 * time.Millisecond
-	// directReadPeriod is how long such a follower reads the log.
+	// maxBackupViewAge is the age above which all hosts of a larger fleet do, since
+	// the backups have brought nothing either.
+	maxBackupViewAge = 1900 * time.Millisecond
+	// directReadPeriod is how long such a follower reads the log or follows a backup.
 	directReadPeriod = 3 * time.Second
+	// staleWait is how long a read waits for changes while the view is old.
+	staleWait = 100 * time.Millisecond
 	// failedReaderPeriod is how long a reader that did not respond gets no
 	// requests.
 	failedReaderPeriod = 3 * time.Second
@@ -59,8 +67,10 @@
 type SourceSelector struct {
 	self       Host
 	avoidUntil map[string]time.Duration
-	readUntil  time.Duration
-	// following is set when the host got its view from a reader only.
+	// readUntil is the time until which the host gets its view from a backup or the
+	// log, directUntil that until which it reads the log.
+	readUntil, directUntil time.Duration
+	// following is set when the host got its view from other hosts only.
 	following bool
 	// hadView is set once the host had a fresh view, and patientUntil is how long
 	// it waits for the first, 0 before it knows a reader.
@@ -79,26 +89,46 @@
 	s.avoidUntil[address] = now + failedReaderPeriod
 }
 
+// Wait returns how long a read of the log, or from a reader, may wait for changes.
+func Wait(viewAge time.Duration) time.Duration {
+	if viewAge > maxViewAge {
+		return staleWait
+	}
+	return MaxWait
+}
+
 // Select returns the source of the view. viewAge is the age of this host's view;
 // peers are the live hosts other than this one.
 //
 // Load pattern: a deployment of many hosts, whose calls to the log cost more than
 // anything else; its readers are cut off from the log, unresponsive or killed, or
-// the log is down.
+// the log is down. In a fleet of ninety, whose two readers are cut off, all others
+// would read the log for three seconds: half of the calls of a day.
 func (s *SourceSelector) Select(peers []Host, viewAge time.Duration, now time.Duration) Source {
 	for address, until := range s.avoidUntil {
 		if now >= until {
 			delete(s.avoidUntil, address)
 		}
 	}
+	s.hadView = s.hadView || viewAge <= maxViewAge
 	if viewAge > maxViewAge && s.following {
 		s.readUntil = now + directReadPeriod
 	}
-	reader := s.selectReader(peers, viewAge)
-	source := Source{Reader: reader, ReadsLog: reader == "" || viewAge > maxViewAge || now < s.readUntil}
-	if reader != "" && s.waitsForFirstView(len(peers), viewAge, now) {
+	if viewAge > maxBackupViewAge {
+		s.directUntil = s.readUntil
+	}
+	reader := s.nearest(s.readers(peers, viewAge))
+	if reader != "" && s.waitsForFirstView(len(peers), now) {
 		return Source{Reader: reader}
 	}
+	old := viewAge > maxViewAge || now < s.readUntil
+	if reader != "" && old && len(peers) >= members.MaxMeshHosts && viewAge <= maxBackupViewAge && now >= s.directUntil {
+		if backup := s.nearest(s.backups(peers)); backup != "" {
+			s.following = true
+			return Source{Reader: backup}
+		}
+	}
+	source := Source{Reader: reader, ReadsLog: reader == "" || old}
 	s.following = !source.ReadsLog
 	return source
 }
@@ -108,8 +138,7 @@
 //
 // Load pattern: two hundred hosts start at once, and each would read the log until
 // the readers have a view.
-func (s *SourceSelector) waitsForFirstView(peers int, viewAge, now time.Duration) bool {
-	s.hadView = s.hadView || viewAge <= maxViewAge
+func (s *SourceSelector) waitsForFirstView(peers int, now time.Duration) bool {
 	if s.hadView || peers < members.MaxMeshHosts {
 		return false
 	}
@@ -119,12 +148,12 @@
 	return now < s.patientUntil
 }
 
-// selectReader returns the reader to follow, preferably one in the same
-// availability zone, or "" if this host is a reader or all readers failed lately.
-func (s *SourceSelector) selectReader(peers []Host, viewAge time.Duration) string {
+// nearest returns the one of some readers to follow, preferably one in the same
+// availability zone, or "" if this host is one of them or all failed lately.
+func (s *SourceSelector) nearest(readers []Host) string {
 	best, weight := "", uint64(0)
 	bestSameZone := false
-	for _, r := range s.readers(peers, viewAge) {
+	for _, r := range readers {
 		if r.Address == s.self.Address {
 			return ""
 		}
@@ -155,7 +184,19 @@
 	if len(fresh) == 0 {
 		fresh = all
 	}
-	return highestRanked(fresh, max(minReaders, (len(fresh)+hostsPerReader-1)/hostsPerReader))
+	return highestRanked(fresh, readerCount(len(fresh)))
+}
+
+func readerCount(hosts int) int {
+	return max(minReaders, (hosts+hostsPerReader-1)/hostsPerReader)
+}
+
+// backups returns the hosts that rank next to the readers, whatever the age of their
+// views: digests tell too late that it is fresh again.
+func (s *SourceSelector) backups(peers []Host) []Host {
+	all := append([]Host{s.self}, peers...)
+	readers := readerCount(len(all))
+	return highestRanked(all, readers*(1+backupsPerReader))[min(readers, len(all)):]
 }
 
 // highestRanked returns the strongest hosts, among those alike the ones of the
--- a/internal/gateway/relay/source_test.go
+++ b/internal/gateway/relay/source_test.go
@@ -137,6 +137,58 @@
 	require.Equal(t, after.Reader == "", after.ReadsLog)
 }
 
+// Scenario: the readers of a larger fleet are cut off from the log. Few others read it
+// first, and all do when those bring nothing.
+func TestFewHostsReadTheLogWhenReadersAreCutOff(t *testing.T) {
+	hosts := fleet(195)
+	selectors := make([]*relay.SourceSelector, len(hosts))
+	for i, h := range hosts {
+		selectors[i] = relay.NewSourceSelector(h)
+	}
+	now := time.Minute
+	// step lets all hosts select a source with a view of an age, and returns who reads
+	// the log and how many hosts follow each host.
+	step := func(age time.Duration) (reading map[string]bool, followers map[string]int) {
+		reading, followers = map[string]bool{}, map[string]int{}
+		for i, h := range hosts {
+			source := selectors[i].Select(others(hosts, i), age, now)
+			if source.ReadsLog {
+				reading[h.Address] = true
+			} else {
+				followers[source.Reader]++
+			}
+		}
+		now += 100 * time.Millisecond
+		return reading, followers
+	}
+	readers, _ := step(0)
+	require.Len(t, readers, 4)
+	for _, c := range []struct {
+		age  time.Duration
+		want int
+	}{{1400 * time.Millisecond, 8}, {1800 * time.Millisecond, 8}, {100 * time.Millisecond, 12}} {
+		reading, followers := step(c.age)
+		require.Len(t, reading, c.want, "view of age %s: backups, and readers with a fresh view", c.age)
+		for backup, count := range followers {
+			require.True(t, reading[backup])
+			require.False(t, readers[backup])
+			require.LessOrEqual(t, count, 60)
+		}
+	}
+	now += 3 * time.Second
+	reading, _ := step(100 * time.Millisecond)
+	require.Equal(t, readers, reading, "readers are followed again")
+
+	step(1400 * time.Millisecond)
+	reading, _ = step(2 * time.Second)
+	require.Len(t, reading, len(hosts))
+	reading, _ = step(100 * time.Millisecond)
+	require.Len(t, reading, len(hosts), "the backups were cut off too: hosts read for themselves for a while")
+	now += 3 * time.Second
+	reading, _ = step(100 * time.Millisecond)
+	require.Equal(t, readers, reading)
+}
+
 // Scenario: the log is down. If each of ninety hosts tried as often as a
 // reader, all of these calls would fail and still be paid for.
 func TestReadersStayTheSameWhileNoViewIsFresh(t *testing.T) {
