usage: count streams whose response was lost at a sound upstream

The log: 191 streams ended with 502 after the connection was reset without an answer, 41 more ran again; half of the upstreams reset a tenth of their answers then. Streams count from their first event, so these did not count although they ran.

The check for a crash that follows a lost response now tells both cases apart: an upstream that still accepts connections has run the stream, a crashed one had produced nothing. Streams that may be sent elsewhere count there, as before.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -42,6 +42,8 @@
 	// when the attempt ended without a complete response for another reason than
 	// a time-out.
 	unresponsive, responseLost bool
+	// sentAt is the time of day of the send of an attempt whose response was lost.
+	sentAt time.Time
 	// extraLatency is how much later than half of the route's latency target the
 	// response, or the first event of its stream, was read; 0 if it was not
 	// later.
@@ -306,7 +308,7 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return outcome{disposition: unknown, reason: "no answer in time"}
 	}
-	return outcome{disposition: unknown, reason: err.Error(), unresponsive: errors.Is(err, errUnresponsive), responseLost: true}
+	return outcome{disposition: unknown, reason: err.Error(), unresponsive: errors.Is(err, errUnresponsive), responseLost: true, sentAt: a.wallSentAt}
 }
 
 // handleResponse relays a stream, or buffers a response and sends it to the
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -81,6 +81,7 @@
 	Deps
 	// bodies is the memory that the bodies of all requests may take.
 	bodies        *semaphore.Weighted
+	lost          lostStreams
 	stopping      atomic.Pointer[StopDeadlines]
 	active        atomic.Int64
 	lastRequestAt atomic.Int64
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -52,6 +52,7 @@
 func (p *proxyRequest) recordCrashEvidence(m *catalog.Member, result outcome) {
 	switch {
 	case result.disposition == unknown && result.responseLost && !p.departing(m):
+		p.recordLostStream(m, result.sentAt)
 		if p.h.Poison.RecordLoss(p.fingerprint(), m.ID) {
 			time.AfterFunc(poison.CheckAfter, func() { p.h.checkCrashed(m) })
 		}
@@ -76,6 +77,7 @@
 // emits events about the crash and the requests held from then on.
 func (h *Handler) checkCrashed(m *catalog.Member) {
 	err := upconn.Check(m.Address)
+	h.countLostStreams(m.ID, err != nil)
 	lost, held := h.Poison.FinishCheck(m.ID, err != nil, boottime.Now())
 	if err != nil {
 		h.Events.Emit(eventCrashed, zap.String("upstream", m.ID), zap.Int("requests", lost), event.Err(err))
