Mend what a reading of the whole diff found

- forward: a stream that was lost while its upstream's check ended could stay uncounted until the next check: taken before the check was finished.
Now after; found by reading, no test (it takes both within microseconds).
- relay, members: the age of a fresh view stood twice (1.3 s); it is members.FreshViewAge.
- capacity: the room that one kind of upstreams leaves the other was written twice.
- Comments that needed a second look; units of the bounds of a learned speed.

Now no reader may have more than twice its share of the fleet, at 2 to 710 hosts: 30 at 30 hosts, 118 at 710; 48 was twice 24.

--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -1,9 +1,9 @@
 // Package poison holds requests that crash the upstreams that run them.
 //
 // Hosts report the requests that were lost with an upstream to the coordinator
-// of the service, a live host chosen by rendezvous hashing. Only the coordinator
-// holds requests. One host's own losses can mislead: when all upstreams restart, a
-// request that is retried may be lost twice. The coordinator adds up the
+// of the service, which is one of the live hosts: all choose the same one by
+// rendezvous hashing. Only the coordinator holds requests. One host's own losses can
+// mislead: when all upstreams restart, a request that is retried may be lost twice. The coordinator adds up the
 // weights of a request's losses and holds the request of a crash with the highest
 // sum: from holdWeight if no other request of the crash has the same sum, from
 // tieWeight in any case. A complete response clears a request. A loss does not
--- a/internal/gateway/advisory/advisory.go
+++ b/internal/gateway/advisory/advisory.go
@@ -55,8 +55,8 @@
 // record is what is kept of an instance.
 type record struct {
 	leaving bool
-	// own is set when the instance told this host itself that it leaves; otherwise
-	// this host knows it from a peer.
+	// own is set when a response to this host said that the instance leaves, and not
+	// set when only a peer said so. Hosts pass on only what they know themselves.
 	own         bool
 	pausedUntil time.Duration
 	// listedAt is the boot time at which the instance was last listed, or first
--- a/internal/gateway/capacity/capacity.go
+++ b/internal/gateway/capacity/capacity.go
@@ -211,8 +211,7 @@
 	spot := spotPerZone(service.Capacity, addStallMargin(service, need), len(zones))
 	var orders []duty.Order
 	for _, zone := range zones {
-		free := service.Capacity.Max - p.expected(have, service, orderKey{service.Name, zone, false}, now)
-		orders = p.appendOrder(orders, have, service, zone, true, min(spot, max(free, 0)), now)
+		orders = p.appendOrder(orders, have, service, zone, true, min(spot, p.room(have, service, zone, true, now)), now)
 	}
 	onDemand, known := p.onDemandPerZone(have, service, zones, need, spot, now)
 	if !known {
@@ -285,8 +284,7 @@
 	for added := true; added && short > 0; {
 		added = false
 		for _, zone := range zones {
-			free := service.Capacity.Max - p.expected(have, service, orderKey{service.Name, zone, true}, now)
-			if short > 0 && wanted[zone] < free {
+			if short > 0 && wanted[zone] < p.room(have, service, zone, false, now) {
 				wanted[zone]++
 				short--
 				added = true
@@ -301,15 +299,17 @@
 	return wanted, true
 }
 
-// expected returns the number of upstreams of a kind in a zone that run or were ordered
-// and may still be starting or ending. The limit of a zone applies to both kinds
-// together.
-func (p *Planner) expected(have inventory, service *catalog.Service, key orderKey, now time.Duration) int {
-	last, ordered := p.placed[key]
+// room returns how many upstreams of a kind a zone may have. Its limit applies to both
+// kinds together, so those of the other kind count against it: as many as run, or as
+// were ordered while these may still be starting or ending.
+func (p *Planner) room(have inventory, service *catalog.Service, zone string, spot bool, now time.Duration) int {
+	other := orderKey{service.Name, zone, !spot}
+	count := have.running[other]
+	last, ordered := p.placed[other]
 	if ordered && last.outcome == duty.Done && now-last.at < service.Capacity.Startup+reorderDelay {
-		return last.count
+		count = last.count
 	}
-	return have.running[key]
+	return max(service.Capacity.Max-count, 0)
 }
 
 // appendOrder appends an order for count upstreams unless they exist without an order,
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -178,8 +178,10 @@
 	}
 }
 
-// awaitPeers waits, for at most maxDiscoveryWait, until this host has heard most other
-// hosts. A new host of a larger fleet then follows a reader from the start.
+// awaitPeers delays the first read of a new host, so that in a larger fleet it knows
+// enough peers to follow a reader from the start. It returns when the addresses of few
+// hosts were found, when half of the hosts found have sent digests, or after
+// maxDiscoveryWait.
 func (g *Gateway) awaitPeers(ctx context.Context) {
 	start := boottime.Now()
 	for ctx.Err() == nil && boottime.Now()-start < maxDiscoveryWait {
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -34,7 +34,7 @@
 	keyMargin = 500 * time.Millisecond
 	// maxDenyAge is the age of the configuration up to which a missing route or
 	// key is reported as such; a host with an older one refuses with 503. Views
-	// of healthy hosts are younger: see maxViewAge in package relay.
+	// of healthy hosts are younger: see members.FreshViewAge.
 	maxDenyAge = 1600 * time.Millisecond
 )
 
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -77,8 +77,9 @@
 // emits events about the crash and the requests held from then on.
 func (h *Handler) checkCrashed(m *catalog.Member) {
 	err := upconn.Check(m.Address)
-	h.countLostStreams(m.ID, err != nil)
 	lost, held := h.Poison.FinishCheck(m.ID, err != nil, boottime.Now())
+	// A loss after FinishCheck starts another check, one before is counted here.
+	h.countLostStreams(m.ID, err != nil)
 	if err != nil {
 		h.Events.Emit(eventCrashed, zap.String("upstream", m.ID), zap.Int("requests", lost), event.Err(err))
 	}
--- a/internal/gateway/members/members.go
+++ b/internal/gateway/members/members.go
@@ -75,7 +75,7 @@
 // contact is a host that may be alive.
 type contact struct {
 	address string
-	// peer is what the host said last, nil if it was not heard yet.
+	// peer holds the host's newest digest, nil before the first.
 	peer    *Peer
 	addedAt time.Duration
 	// heardAt is when the host last showed to be alive, by a digest or in a
@@ -87,12 +87,12 @@
 	shownAt time.Duration
 	// aliveUntil is the time from which the host counts as down.
 	aliveUntil time.Duration
-	// changedAt is when the host's present process was first heard.
+	// changedAt is when the first digest of the host's current process arrived.
 	changedAt time.Duration
 	// sentAt, loadAt and fullAt are when a digest, one with the load, and a full one
 	// was last sent, and summaryAt when a summary was.
 	sentAt, loadAt, fullAt, summaryAt time.Duration
-	// reported is what this host had counted at the last full digest to the host.
+	// reported is the value of Table.counted when the last full digest was sent.
 	reported uint64
 	// contacted is set when a digest was sent before.
 	contacted bool
@@ -107,7 +107,7 @@
 	c.aliveUntil = max(c.aliveUntil, now+lasts)
 }
 
-// isAlive reports whether the host was heard and does not count as down.
+// isAlive reports whether the host has sent a digest and counts as up.
 func (c *contact) isAlive(now time.Duration) bool { return c.peer != nil && now <= c.aliveUntil }
 
 // silence returns the time since the host last showed to be alive.
--- a/internal/gateway/members/summary.go
+++ b/internal/gateway/members/summary.go
@@ -84,14 +84,16 @@
 // The flags of a host's state.
 const (
 	// StateReady is set when the host is ready for callers, StateStopping when it
-	// stops, and StateFresh when its view is at most freshViewAge old.
+	// stops, and StateFresh when its view is at most FreshViewAge old.
 	StateReady StateFlags = 1 << iota
 	StateStopping
 	StateFresh
 )
 
-// freshViewAge is the age of a view up to which it counts as fresh in a summary.
-const freshViewAge = 1300 * time.Millisecond
+// FreshViewAge is the age of a view up to which it counts as fresh. Views from a healthy
+// reader are younger; changes by operators and upstreams must be in effect within two
+// seconds.
+const FreshViewAge = 1300 * time.Millisecond
 
 // LoadSum is the load of many hosts' in-flight requests at an upstream.
 type LoadSum struct {
@@ -126,7 +128,7 @@
 	if d.Stopping {
 		flags |= StateStopping
 	}
-	if d.ViewAge <= freshViewAge {
+	if d.ViewAge <= FreshViewAge {
 		flags |= StateFresh
 	}
 	return flags
--- a/internal/gateway/members/tree.go
+++ b/internal/gateway/members/tree.go
@@ -371,7 +371,7 @@
 	changed.Stopping = state.Flags&StateStopping != 0
 	changed.ViewAge = 0
 	if state.Flags&StateFresh == 0 {
-		changed.ViewAge = freshViewAge + 1
+		changed.ViewAge = FreshViewAge + 1
 	}
 	c.peer = &changed
 }
--- a/internal/gateway/place/speed.go
+++ b/internal/gateway/place/speed.go
@@ -10,7 +10,8 @@
 	// DefaultPrefillRate is the number of prompt tokens that an engine processes per
 	// millisecond, until it is learned.
 	DefaultPrefillRate = 112.0
-	// minPrefillRate and maxPrefillRate bound what is learned.
+	// minPrefillRate and maxPrefillRate bound what is learned, in tokens per
+	// millisecond.
 	minPrefillRate, maxPrefillRate = 10.0, 1000.0
 	// speedEpoch is the time after which the fastest responses are collected anew;
 	// those of the epoch before count as well.
@@ -19,7 +20,7 @@
 	// length; longer prompts than the last class are left out, since engines read
 	// them in several parts.
 	speedBins = 13
-	// minSpeedSamples is the number of responses of which a class needs one.
+	// minSpeedSamples is the number of responses that a class needs to count.
 	minSpeedSamples = 4
 )
 
--- a/internal/gateway/relay/source.go
+++ b/internal/gateway/relay/source.go
@@ -25,12 +25,9 @@
 
 // When hosts that are no readers read the log directly.
 const (
-	// maxViewAge is the age of a view above which a follower reads the log
-	// directly. Views from a healthy reader are younger; changes by operators and
-	// upstreams must be in effect within two seconds.
-	maxViewAge = 1300 * time.Millisecond
-	// maxBackupViewAge is the age above which all hosts of a larger fleet do, since
-	// the backups have brought nothing either.
+	// maxBackupViewAge is the age of a view above which each follower of a larger
+	// fleet reads the log, since the backups have brought nothing either. In a small
+	// fleet it does so as soon as its view is no longer fresh.
 	maxBackupViewAge = 1900 * time.Millisecond
 	// directReadPeriod is how long such a follower reads the log or follows a backup.
 	directReadPeriod = 3 * time.Second
@@ -91,7 +88,7 @@
 
 // Wait returns how long a read of the log, or from a reader, may wait for changes.
 func Wait(viewAge time.Duration) time.Duration {
-	if viewAge > maxViewAge {
+	if viewAge > members.FreshViewAge {
 		return staleWait
 	}
 	return MaxWait
@@ -110,8 +107,8 @@
 			delete(s.avoidUntil, address)
 		}
 	}
-	s.hadView = s.hadView || viewAge <= maxViewAge
-	if viewAge > maxViewAge && s.following {
+	s.hadView = s.hadView || viewAge <= members.FreshViewAge
+	if viewAge > members.FreshViewAge && s.following {
 		s.readUntil = now + directReadPeriod
 	}
 	if viewAge > maxBackupViewAge {
@@ -121,7 +118,7 @@
 	if reader != "" && s.waitsForFirstView(len(peers), now) {
 		return Source{Reader: reader}
 	}
-	old := viewAge > maxViewAge || now < s.readUntil
+	old := viewAge > members.FreshViewAge || now < s.readUntil
 	if reader != "" && old && len(peers) >= members.MaxMeshHosts && viewAge <= maxBackupViewAge && now >= s.directUntil {
 		if backup := s.nearest(s.backups(peers)); backup != "" {
 			s.following = true
@@ -177,7 +174,7 @@
 	all := append([]Host{self}, peers...)
 	var fresh []Host
 	for _, h := range all {
-		if h.ViewAge <= maxViewAge {
+		if h.ViewAge <= members.FreshViewAge {
 			fresh = append(fresh, h)
 		}
 	}
--- a/internal/gateway/relay/source_test.go
+++ b/internal/gateway/relay/source_test.go
@@ -49,7 +49,7 @@
 		require.Equal(t, want, readers, "%d hosts", count)
 		for reader, followers := range load {
 			require.Empty(t, readerOf[reader], "only readers are followed")
-			require.LessOrEqual(t, followers, 128, "%d hosts", count)
+			require.LessOrEqual(t, followers, 2*count/readers, "%d hosts: no reader has more than twice its share", count)
 		}
 	}
 }
