forward: lines of failed requests name the parts of their prompts

After a crash the log did not say what the lost requests had in common, so a count by whole request that never gets above one could not be told from one that does not get around. Lines 901 and 902 now have the shared parts of the prompt, at most eight of 32 bytes each; lines of answered requests stay as they were.

No logic changes.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -23,11 +23,14 @@
 	InputTokens, MaxOutputTokens int
 }
 
-// SharedTokens returns the tokens of all parts but the last. The last part is
-// specific to the request; the others may be shared with other requests.
+// SharedParts returns all parts but the last. The last part is specific to the
+// request; the others may be shared with other requests.
+func (p *Prompt) SharedParts() []PrefixPart { return p.Parts[:max(len(p.Parts)-1, 0)] }
+
+// SharedTokens returns the tokens of the shared parts.
 func (p *Prompt) SharedTokens() int {
 	total := 0
-	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+	for _, part := range p.SharedParts() {
 		total += part.Tokens
 	}
 	return total
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/event"
@@ -23,8 +24,8 @@
 	eventAdvisoryIgnored = event.Define(908, zapcore.WarnLevel, "pause of an upstream ignored")
 )
 
-func (p *proxyRequest) log(e *event.Event, status int, reason string) {
-	p.h.Events.Emit(e, p.logFields(status, reason)...)
+func (p *proxyRequest) log(e *event.Event, status int, reason string, more ...zap.Field) {
+	p.h.Events.Emit(e, append(p.logFields(status, reason), more...)...)
 }
 
 // Range of the latency histograms, in microseconds, and their precision.
--- a/internal/gateway/forward/response.go
+++ b/internal/gateway/forward/response.go
@@ -87,14 +87,14 @@
 		reason += "; caller gone: " + err.Error()
 	}
 	p.h.Stats.Refused.Add(1)
-	p.log(eventRefused, status, reason)
+	p.log(eventRefused, status, reason, p.partsField())
 }
 
 // abort closes the connection in the middle of a stream, so that the stream
 // does not look complete to the caller.
 func (p *proxyRequest) abort(reason string) {
 	p.h.Stats.AbortedStreams.Add(1)
-	p.log(eventStreamAborted, http.StatusOK, reason)
+	p.log(eventStreamAborted, http.StatusOK, reason, p.partsField())
 	panic(http.ErrAbortHandler)
 }
 
@@ -112,6 +112,27 @@
 	p.log(eventAnswered, status, p.failure)
 }
 
+// Bounds of the parts in a log line; parts come from callers.
+const (
+	maxLoggedParts     = 8
+	maxLoggedPartBytes = 32
+)
+
+// partsField returns the log field with the shared parts of the prompt: requests that
+// fail alike may have one in common.
+func (p *proxyRequest) partsField() zap.Field {
+	if p.call.Prompt == nil {
+		return zap.Skip()
+	}
+	var ids []string
+	for _, part := range p.call.Prompt.SharedParts() {
+		if len(ids) < maxLoggedParts {
+			ids = append(ids, part.ID[:min(len(part.ID), maxLoggedPartBytes)])
+		}
+	}
+	return zap.Strings("parts", ids)
+}
+
 func (p *proxyRequest) routeName() string {
 	if p.route == nil {
 		return ""
