poison: hold requests for a part of their prompts

Cause: a crash was counted under the content of each request that was lost, a fingerprint of method, path, customer and body. Requests that differ anywhere never came to three crashes. Class: evidence kept under a key that is finer than the cause.

Why this works: a crash now counts under each trait of a lost request, its content and its shared parts; parts only until the engine has been answering for 0.5 s. A response clears all traits of its request at all hosts, so parts of which sound requests come keep no crashes. Parts that only travel with the crashing one have the same crashes: a request is held for a trait only if no suspect that it lacks explains the trait's crashes as well, so the first sound request with such a part goes through and clears it. If engines crash for another reason while many requests share a part, nothing may be left to clear it: one host at a time lets one request through, 4 s after the last crash, then 15 s, then 30 minutes.

TestFingerprintDistinguishesRequests has the name of the new function.

--- a/internal/gateway/compat_test.go
+++ b/internal/gateway/compat_test.go
@@ -30,7 +30,7 @@
 	require.NoError(t, err)
 	var values map[string]json.RawMessage
 	require.NoError(t, json.Unmarshal(data, &values))
-	names := strings.Fields(`Answered Refused Cut Left Stray Held Active LeavingUpstreams UpstreamPauses Dials LogLinesDropped LogLinesSampled
+	names := strings.Fields(`Answered Refused Cut Left Stray Held PoisonTrials Active LeavingUpstreams UpstreamPauses Dials LogLinesDropped LogLinesSampled
 		ConfigVersion ConfigAgeMs ListAgeMs Peers Holders DutyToken HeapBytes Goroutines LatencyMs`)
 	require.ElementsMatch(t, names, slices.Collect(maps.Keys(values)))
 }
--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -54,8 +54,10 @@
 	// it can be reached.
 	withheld bool
 	// serverError is set when the upstream responded with a status of 500 or
-	// above.
-	serverError bool
+	// above, and success when it did with one below 300.
+	serverError, success bool
+	// answering is set when the upstream had sent events for poison.AnsweringFor.
+	answering bool
 }
 
 // Limits of attempts.
@@ -101,6 +103,10 @@
 	lastReceivedAt time.Duration
 	// wallSentAt is the time of day of the send, by which usage is counted.
 	wallSentAt time.Time
+	// firstEventAt is the boot time of the first event of this attempt, and answering is
+	// set when the upstream has sent events for poison.AnsweringFor since.
+	firstEventAt time.Duration
+	answering    bool
 }
 
 // attempt sends the request to one upstream and sends its response on to the
@@ -308,7 +314,10 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return outcome{disposition: unknown, reason: "no answer in time"}
 	}
-	return outcome{disposition: unknown, reason: err.Error(), unresponsive: errors.Is(err, errUnresponsive), responseLost: true, sentAt: a.wallSentAt}
+	return outcome{
+		disposition: unknown, reason: err.Error(), unresponsive: errors.Is(err, errUnresponsive),
+		responseLost: true, sentAt: a.wallSentAt, answering: a.answering,
+	}
 }
 
 // handleResponse relays a stream, or buffers a response and sends it to the
@@ -345,7 +354,10 @@
 	a.runs++
 	extraLatency := a.extraLatency()
 	a.writeResponse(buffered)
-	return true, outcome{disposition: finished, extraLatency: extraLatency, latency: latency, serverError: resp.StatusCode >= http.StatusInternalServerError}
+	return true, outcome{
+		disposition: finished, extraLatency: extraLatency, latency: latency,
+		serverError: resp.StatusCode >= http.StatusInternalServerError, success: success,
+	}
 }
 
 // retryable reports whether another attempt may follow an error response.
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -40,9 +40,10 @@
 	// Answered counts upstream responses that were sent to the caller in full,
 	// Refused responses of the gateway itself, AbortedStreams streams closed
 	// before their end, CallerDisconnects requests whose caller disconnected,
-	// MismatchedResponses discarded responses to other attempts, and HeldRequests
-	// requests ended since requests like them crashed upstreams.
-	Answered, Refused, AbortedStreams, CallerDisconnects, MismatchedResponses, HeldRequests atomic.Int64
+	// MismatchedResponses discarded responses to other attempts, HeldRequests
+	// requests ended since requests like them crashed upstreams, and PoisonTrials those
+	// let through all the same to find out whether they still do.
+	Answered, Refused, AbortedStreams, CallerDisconnects, MismatchedResponses, HeldRequests, PoisonTrials atomic.Int64
 	// LeavingUpstreams counts the upstreams that told this host that they leave,
 	// UpstreamPauses the responses in which one wanted no requests for a while.
 	LeavingUpstreams, UpstreamPauses atomic.Int64
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -68,8 +68,8 @@
 	VersionShares interface {
 		Share(service, target string) float64
 	}
-	// Zone is the availability zone of this host.
-	Zone string
+	// Host is the name of this host, and Zone its availability zone.
+	Host, Zone string
 	// RevokeWithin is the longest time for which a revoked key may still be
 	// accepted.
 	RevokeWithin time.Duration
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,34 +18,56 @@
 
 // Events about requests that crash upstreams.
 var (
-	eventCrashed = event.Define(904, zapcore.WarnLevel, "upstream crashed under requests")
-	eventHeld    = event.Define(905, zapcore.WarnLevel, "request held")
+	eventCrashed  = event.Define(904, zapcore.WarnLevel, "upstream crashed under requests")
+	eventHeld     = event.Define(905, zapcore.WarnLevel, "request held")
+	eventPartHeld = event.Define(909, zapcore.WarnLevel, "requests with a part held")
+	eventTrial    = event.Define(929, zapcore.WarnLevel, "held request tried")
 )
 
-// fingerprint identifies the content of the request.
-func (p *proxyRequest) fingerprint() uint64 {
-	return poison.Fingerprint(p.call.Method, p.call.Target, customerName(p.customer), p.call.Body)
+// traits returns what the request may have in common with others that crash upstreams.
+func (p *proxyRequest) traits() poison.Request {
+	traits := poison.Request{Content: poison.Content(p.call.Method, p.call.Target, customerName(p.customer), p.call.Body)}
+	if p.call.Prompt != nil {
+		for _, part := range p.call.Prompt.SharedParts() {
+			traits.Parts = append(traits.Parts, poison.Part(p.service, part.ID))
+		}
+	}
+	return traits
 }
 
-// heldUntil returns the boot time up to which the request is held since
-// requests like it crashed upstreams, or 0.
-func (p *proxyRequest) heldUntil() time.Duration {
+// admitPoison reports whether the request is not held, since requests with the same
+// content or a part of their prompts in common crashed upstreams. If it is, it has been
+// ended.
+func (p *proxyRequest) admitPoison() bool {
 	if !p.h.Poison.Any() {
-		return 0
+		return true
+	}
+	hosts := p.h.Snapshots.Snapshot().SenderNames
+	verdict := p.h.Poison.Judge(p.traits(), p.h.Host, hosts, boottime.Now())
+	switch {
+	case verdict.Trial:
+		p.h.Stats.PoisonTrials.Add(1)
+		p.h.Events.Emit(eventTrial, zap.String("request", p.call.ID), zap.String("part", verdict.Trait.Part))
+	case verdict.HeldUntil > 0:
+		p.refuseHeld(verdict)
+		return false
 	}
-	return p.h.Poison.HeldUntil(p.fingerprint(), boottime.Now())
+	return true
 }
 
 // refuseHeld ends a request that is held.
-func (p *proxyRequest) refuseHeld(until time.Duration) {
+func (p *proxyRequest) refuseHeld(verdict poison.Verdict) {
 	p.h.Stats.HeldRequests.Add(1)
-	reason := fmt.Sprintf("requests with fingerprint %d crashed several upstreams", p.fingerprint())
+	reason := fmt.Sprintf("requests with fingerprint %d crashed several upstreams", verdict.Trait.Key)
+	if verdict.Trait.Part != "" {
+		reason = fmt.Sprintf("requests with part %.*q crashed several upstreams", maxLoggedPartBytes, verdict.Trait.Part)
+	}
 	if p.headerSent || p.fallback != nil || p.runs > 0 {
 		p.giveUp(reason)
 		return
 	}
 	p.refundQuota()
-	p.refuse(http.StatusServiceUnavailable, reason, until-boottime.Now())
+	p.refuse(http.StatusServiceUnavailable, reason, verdict.HeldUntil-boottime.Now())
 }
 
 // recordCrashEvidence records a lost response, after which the upstream is
@@ -53,14 +76,40 @@
 	switch {
 	case result.disposition == unknown && result.responseLost && !p.departing(m):
 		p.recordLostStream(m, result.sentAt)
-		if p.h.Poison.RecordLoss(p.fingerprint(), m.ID) {
+		lost := p.traits()
+		if result.answering {
+			lost.Parts = nil
+		}
+		if p.h.Poison.RecordLoss(lost, instanceKey(m)) {
 			time.AfterFunc(poison.CheckAfter, func() { p.h.checkCrashed(m) })
 		}
 	case result.disposition == finished && p.h.Poison.Any():
-		p.h.Poison.RecordResponse(p.fingerprint(), boottime.Now())
+		complete := p.traits()
+		if !result.success {
+			// An upstream may report an error before it begins to answer.
+			complete.Parts = nil
+		}
+		p.h.Poison.RecordResponse(complete, boottime.Now())
 	}
 }
 
+// recordAnswering records that the upstream has been answering for a while, once.
+func (a *attempt) recordAnswering(now time.Duration) {
+	if a.firstEventAt == 0 {
+		a.firstEventAt = now
+	}
+	if a.answering || now-a.firstEventAt < poison.AnsweringFor {
+		return
+	}
+	a.answering = true
+	if a.h.Poison.Any() {
+		a.h.Poison.RecordAnswering(a.traits(), now)
+	}
+}
+
+// instanceKey identifies a process of an upstream: one that starts again may keep its ID.
+func instanceKey(m *catalog.Member) string { return m.ID + "/" + strconv.FormatInt(m.Born, 10) }
+
 // departing reports whether an upstream is draining or no longer listed. A
 // response lost then is no sign of a crash: a crashed upstream stays listed for
 // a while.
@@ -77,13 +126,17 @@
 // emits events about the crash and the requests held from then on.
 func (h *Handler) checkCrashed(m *catalog.Member) {
 	err := upconn.Check(m.Address)
-	lost, held := h.Poison.FinishCheck(m.ID, err != nil, boottime.Now())
+	lost, held := h.Poison.FinishCheck(instanceKey(m), err != nil, boottime.Now())
 	// A loss after FinishCheck starts another check, one before is counted here.
 	h.countLostStreams(m.ID, err != nil)
 	if err != nil {
 		h.Events.Emit(eventCrashed, zap.String("upstream", m.ID), zap.Int("requests", lost), event.Err(err))
 	}
-	for _, fingerprint := range held {
-		h.Events.Emit(eventHeld, zap.Uint64("fingerprint", fingerprint), zap.String("upstream", m.ID))
+	for _, trait := range held {
+		if trait.Part != "" {
+			h.Events.Emit(eventPartHeld, zap.String("part", trait.Part), zap.String("upstream", m.ID))
+		} else {
+			h.Events.Emit(eventHeld, zap.Uint64("fingerprint", trait.Key), zap.String("upstream", m.ID))
+		}
 	}
 }
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -30,8 +30,7 @@
 			p.giveUpTimeout()
 			return
 		}
-		if until := p.heldUntil(); until > 0 {
-			p.refuseHeld(until)
+		if !p.admitPoison() {
 			return
 		}
 		member, reason := p.chooseUpstream()
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -113,6 +113,7 @@
 	}
 	a.lastReceivedAt, a.lastEventAt = now, now
 	a.inFlight.Received(now)
+	a.recordAnswering(now)
 	a.countUsage(a.h.Usage.Now())
 }
 
@@ -156,7 +157,7 @@
 	r.sendHeader()
 	r.runs++
 	r.logCompleted(r.resp.StatusCode)
-	return delimited(r.resp), outcome{disposition: finished, extraLatency: r.extraLatency, latency: r.latency}
+	return delimited(r.resp), outcome{disposition: finished, extraLatency: r.extraLatency, latency: r.latency, success: true}
 }
 
 // streamErrorOutcome returns the outcome of an attempt whose stream broke off.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,7 +168,7 @@
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
 		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Usage: g.usage, Events: events,
-		VersionShares: g, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
+		VersionShares: g, Host: o.Host, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
 	})
 	g.duties = duty.NewDriver(duty.Deps{
 		Host: o.Host, Strength: o.Strength, Incarnation: g.incarnation, Log: ports.Feed, Cloud: ports.Cloud, Snapshots: g.loop,
--- a/internal/gateway/poison/poison_test.go
+++ b/internal/gateway/poison/poison_test.go
@@ -11,13 +11,20 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/poison"
 )
 
+// whole returns a request with some content and no prompt.
+func whole(content uint64) poison.Request { return poison.Request{Content: poison.Trait{Key: content}} }
+
 // crash records requests as lost at an upstream that has crashed.
-func crash(table *poison.Table, upstream string, now time.Duration, requests ...uint64) []uint64 {
-	for _, request := range requests {
-		table.RecordLoss(request, upstream)
+func crash(table *poison.Table, upstream string, now time.Duration, contents ...uint64) {
+	for _, content := range contents {
+		table.RecordLoss(whole(content), upstream)
 	}
-	_, held := table.FinishCheck(upstream, true, now)
-	return held
+	table.FinishCheck(upstream, true, now)
+}
+
+// heldUntil returns the time until which a request with some content is held, or 0.
+func heldUntil(table *poison.Table, content uint64, now time.Duration) time.Duration {
+	return table.Judge(whole(content), "host", []string{"host"}, now).HeldUntil
 }
 
 // exchange sends the digest entries of each table to the others.
@@ -35,28 +42,28 @@
 func TestThreeCrashesAtThreeHostsHoldARequestAtAllHosts(t *testing.T) {
 	a, b, c := poison.NewTable(), poison.NewTable(), poison.NewTable()
 	for i, table := range []*poison.Table{a, b, c} {
-		require.Zero(t, table.HeldUntil(1, time.Second))
+		require.Zero(t, heldUntil(table, 1, time.Second))
 		crash(table, fmt.Sprint("u", i), time.Second, 1, uint64(100+i))
 		exchange(time.Second, a, b, c)
 	}
 	for _, table := range []*poison.Table{a, b, c} {
-		require.Positive(t, table.HeldUntil(1, 2*time.Second))
-		require.Zero(t, table.HeldUntil(100, 2*time.Second), "a request that was lost in one of the crashes")
+		require.Positive(t, heldUntil(table, 1, 2*time.Second))
+		require.Zero(t, heldUntil(table, 100, 2*time.Second), "a request that was lost in one of the crashes")
 	}
-	require.Zero(t, a.HeldUntil(1, 10*time.Minute), "the hold ends")
+	require.Zero(t, heldUntil(a, 1, 10*time.Minute), "the hold ends")
 }
 
 func TestLossesAtLiveUpstreamsDoNotCount(t *testing.T) {
 	table := poison.NewTable()
 	for i := range 10 {
 		upstream := fmt.Sprint("u", i)
-		require.True(t, table.RecordLoss(1, upstream))
-		require.False(t, table.RecordLoss(2, upstream), "one check is enough")
+		require.True(t, table.RecordLoss(whole(1), upstream))
+		require.False(t, table.RecordLoss(whole(2), upstream), "one check is enough")
 		lost, held := table.FinishCheck(upstream, false, time.Second)
 		require.Equal(t, 2, lost)
 		require.Empty(t, held)
 	}
-	require.Zero(t, table.HeldUntil(1, time.Second))
+	require.Zero(t, heldUntil(table, 1, time.Second))
 	require.False(t, table.Any())
 }
 
@@ -65,7 +72,7 @@
 	for range 5 {
 		crash(table, "u", time.Second, 1)
 	}
-	require.Zero(t, table.HeldUntil(1, time.Second))
+	require.Zero(t, heldUntil(table, 1, time.Second))
 }
 
 // Scenario: upstreams crash repeatedly for other reasons while they run a request
@@ -75,13 +82,13 @@
 	crash(a, "u1", time.Second, 1)
 	crash(a, "u2", time.Second, 1)
 	exchange(time.Second, a, b)
-	b.RecordResponse(1, 2*time.Second)
+	b.RecordResponse(whole(1), 2*time.Second)
 	exchange(2*time.Second, a, b)
 	exchange(2*time.Second, a, b)
 	crash(a, "u3", 3*time.Second, 1)
 	exchange(3*time.Second, a, b)
-	require.Zero(t, a.HeldUntil(1, 3*time.Second))
-	require.Zero(t, b.HeldUntil(1, 3*time.Second))
+	require.Zero(t, heldUntil(a, 1, 3*time.Second))
+	require.Zero(t, heldUntil(b, 1, 3*time.Second))
 }
 
 func TestHoldsLastFromTheThirdLastCrash(t *testing.T) {
@@ -89,10 +96,10 @@
 	for i := range 3 {
 		crash(table, fmt.Sprint("u", i), time.Duration(i+1)*time.Minute, 1)
 	}
-	until := table.HeldUntil(1, 3*time.Minute)
+	until := heldUntil(table, 1, 3*time.Minute)
 	require.Equal(t, 6*time.Minute, until)
-	require.Positive(t, table.HeldUntil(1, until-time.Second))
-	require.Zero(t, table.HeldUntil(1, until))
+	require.Positive(t, heldUntil(table, 1, until-time.Second))
+	require.Zero(t, heldUntil(table, 1, until))
 }
 
 // Guards against a crash that never expires since peers send it back to one another
@@ -121,7 +128,7 @@
 			table := tables[rapid.IntRange(0, 2).Draw(t, "host")]
 			request := rapid.Uint64Range(1, 3).Draw(t, "request")
 			if rapid.Bool().Draw(t, "answered") {
-				table.RecordResponse(request, now)
+				table.RecordResponse(whole(request), now)
 				delete(crashed, request)
 			} else {
 				upstream := fmt.Sprint("u", rapid.IntRange(0, 9).Draw(t, "upstream"))
@@ -135,7 +142,7 @@
 			exchange(now, tables...)
 			for request := range uint64(4) {
 				for _, table := range tables {
-					if table.HeldUntil(request, now) > 0 {
+					if heldUntil(table, request, now) > 0 {
 						require.GreaterOrEqual(t, len(crashed[request]), 3)
 					}
 				}
@@ -144,7 +151,7 @@
 		exchange(now, tables...)
 		for request, upstreams := range crashed {
 			for _, table := range tables {
-				require.Equal(t, len(upstreams) >= 3, table.HeldUntil(request, now) > 0)
+				require.Equal(t, len(upstreams) >= 3, heldUntil(table, request, now) > 0)
 			}
 		}
 	})
@@ -177,15 +184,15 @@
 	}
 	late := poison.NewTable()
 	exchange(2*time.Minute, a, late)
-	require.Positive(t, late.HeldUntil(1, 2*time.Minute))
+	require.Positive(t, heldUntil(late, 1, 2*time.Minute))
 }
 
-func TestFingerprintDistinguishesRequests(t *testing.T) {
-	base := poison.Fingerprint("POST", "/a/", "c", []byte("body"))
-	for _, other := range []uint64{
-		poison.Fingerprint("GET", "/a/", "c", []byte("body")), poison.Fingerprint("POST", "/a/b", "c", []byte("body")),
-		poison.Fingerprint("POST", "/a/", "d", []byte("body")), poison.Fingerprint("POST", "/a/", "c", []byte("bodyx")),
-		poison.Fingerprint("POST", "/a/c", "", []byte("body")),
+func TestContentDistinguishesRequests(t *testing.T) {
+	base := poison.Content("POST", "/a/", "c", []byte("body"))
+	for _, other := range []poison.Trait{
+		poison.Content("GET", "/a/", "c", []byte("body")), poison.Content("POST", "/a/b", "c", []byte("body")),
+		poison.Content("POST", "/a/", "d", []byte("body")), poison.Content("POST", "/a/", "c", []byte("bodyx")),
+		poison.Content("POST", "/a/c", "", []byte("body")),
 	} {
 		require.NotEqual(t, base, other)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -159,7 +159,7 @@
 // field.
 type metrics struct {
 	Answered, Refused, Cut, Left, Stray int64
-	Held, Active                        int64
+	Held, PoisonTrials, Active          int64
 	LeavingUpstreams, UpstreamPauses    int64
 	Dials                               uint64
 	LogLinesDropped, LogLinesSampled    int64
@@ -181,7 +181,7 @@
 	m := metrics{
 		Answered: g.stats.Answered.Load(), Refused: g.stats.Refused.Load(), Cut: g.stats.AbortedStreams.Load(),
 		Left: g.stats.CallerDisconnects.Load(), Stray: g.stats.MismatchedResponses.Load(),
-		Held: g.stats.HeldRequests.Load(), Active: g.forward.Active(),
+		Held: g.stats.HeldRequests.Load(), PoisonTrials: g.stats.PoisonTrials.Load(), Active: g.forward.Active(),
 		LeavingUpstreams: g.stats.LeavingUpstreams.Load(), UpstreamPauses: g.stats.UpstreamPauses.Load(), Dials: g.pool.Dials(),
 		LogLinesDropped: g.sink.Dropped(), LogLinesSampled: g.sink.Sampled(),
 		ConfigAgeMs: (now - s.View.ConfirmedAt).Milliseconds(), ListAgeMs: (now - s.View.ListedAt).Milliseconds(),
