forward: a response without a length may have been broken off by a crash

Callers would have seen a stream end as complete that had broken off: inside an event, before the first event, or between two events since its engine crashed; a body without a length of a crashed upstream was passed on as whole. A crash before the first event also counted as a response, which cleared what crashes upstreams, so that crashing requests were never held.

Cause: a body with neither a length nor chunks ends with its connection, and so does one that breaks off. The end of the connection was taken for the end of the response, and an incomplete event at the end was dropped silently.

Why this works: inside an event and before the first, the stream has broken off by its own format. Otherwise the gateway looks whether the upstream refuses connections, as a process that has ended does, unless it was draining, said that it leaves, or is not listed. That costs one connection for each response without a length; an upstream that cannot be reached counts as sound, since only a refusal shows the crash.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -336,6 +336,9 @@
 	}
 	a.inFlight.Received(boottime.Now())
 	body, err := a.buffers.readAll(resp.Body, maxResponseBytes)
+	if err == nil && !a.endsWhole(resp) {
+		err = errCrashedAtEnd
+	}
 	if err != nil {
 		return false, a.errorOutcome(err)
 	}
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -110,10 +110,13 @@
 // instanceKey identifies a process of an upstream: one that starts again may keep its ID.
 func instanceKey(m *catalog.Member) string { return m.ID + "/" + strconv.FormatInt(m.Born, 10) }
 
-// departing reports whether an upstream is draining or no longer listed. A
-// response lost then is no sign of a crash: a crashed upstream stays listed for
-// a while.
+// departing reports whether an upstream is draining, has said that it leaves, or is no
+// longer listed. A response lost then is no sign of a crash: a crashed upstream stays
+// listed for a while.
 func (p *proxyRequest) departing(m *catalog.Member) bool {
+	if p.h.Advisories.State(m, boottime.Now()).Leaving {
+		return true
+	}
 	for _, current := range p.h.Snapshots.Snapshot().View.Members[p.service] {
 		if current.ID == m.ID {
 			return current.Draining
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/upconn"
 )
 
 // eventBufferBytes is the size of the buffer for reading events; longer lines
@@ -45,8 +46,10 @@
 			return false, outcome{disposition: callerGone, reason: err.Error()}
 		}
 		switch {
-		case errors.Is(readErr, io.EOF):
+		case errors.Is(readErr, io.EOF) && r.endsWhole(r.resp):
 			return r.finish()
+		case errors.Is(readErr, io.EOF):
+			return false, r.streamErrorOutcome(errCrashedAtEnd)
 		case readErr != nil:
 			return false, r.streamErrorOutcome(readErr)
 		}
@@ -54,10 +57,14 @@
 }
 
 // readNext reads one event. An incomplete event is dropped, unless the body is
-// delimited and ended regularly.
+// delimited and ended regularly. A body that is not has broken off if it ends inside an
+// event or before the first.
 func (r *streamRelay) readNext() error {
 	event, err := readEvent(r.reader)
-	if err == nil || errors.Is(err, io.EOF) && len(event) > 0 && delimited(r.resp) {
+	if errors.Is(err, io.EOF) && !delimited(r.resp) && (len(event) > 0 || r.firstEventAt == 0) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil || errors.Is(err, io.EOF) && len(event) > 0 {
 		if r.latency == 0 {
 			r.extraLatency = r.attempt.extraLatency()
 			r.latency = boottime.Now() - r.sentAt
@@ -78,6 +85,15 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+var errCrashedAtEnd = errors.New("upstream refuses connections behind a response without a length")
+
+// endsWhole reports whether a response that was read to its end is whole. The connection
+// of an upstream that crashes ends like a body without a length, so it is not if the
+// upstream refuses connections, unless it leaves.
+func (a *attempt) endsWhole(resp *http.Response) bool {
+	return delimited(resp) || a.departing(a.member) || !upconn.Refuses(a.member.Address)
+}
+
 // readEvent reads one event, up to and including the empty line that ends it.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -161,10 +162,22 @@
 // Check opens and closes a connection to an upstream. It returns an error if
 // the upstream does not accept it.
 func Check(address string) error {
+	if err := probe(address); err != nil {
+		return eris.Wrap(ErrDial, err.Error())
+	}
+	return nil
+}
+
+// Refuses reports whether an upstream refuses connections, as it does when its process
+// has ended. One that cannot be reached does not.
+func Refuses(address string) bool { return errors.Is(probe(address), syscall.ECONNREFUSED) }
+
+// probe opens and closes a connection.
+func probe(address string) error {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.Dial("tcp4", address)
 	if err != nil {
-		return eris.Wrap(ErrDial, err.Error())
+		return err
 	}
 	return conn.Close()
 }
