forward: a success that is no event stream does not continue a stream

Cause: whether a response goes on with a stream was judged by its status alone. Now it has to be 200 with the media type of the response that the caller has a part of; otherwise the attempt failed and the caller's connection is closed. An event stream without further events still ends a stream that broke off behind its last event.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -332,6 +332,9 @@
 		return false, a.errorOutcome(errors.New("answer is not signed"))
 	}
 	if success && a.route.Kind == catalog.Stream {
+		if a.headerSent && !a.continuesStream(resp) {
+			return false, outcome{disposition: failed, reason: "upstream did not resume the stream: " + resp.Status}
+		}
 		return a.relayStream(resp)
 	}
 	a.inFlight.Received(boottime.Now())
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
@@ -144,6 +145,19 @@
 	}
 }
 
+// continuesStream reports whether a response is of the kind of the one that the caller
+// already has a part of. An upstream that fails to resume a stream may say so with a
+// success and a body that is none of its events.
+func (a *attempt) continuesStream(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && mediaType(resp.Header) == mediaType(a.w.Header())
+}
+
+// mediaType returns the media type of a body without its parameters, "" if none is stated.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // flush sends the pending events to the caller.
 func (r *streamRelay) flush() error {
 	if len(r.pending) == 0 {
