poison: digests carry new crashes beside those of held traits

Cause: a digest has 32 crashes, sorted by how many its trait has. Four traits that were held already filled it with eight each, so peers never heard of a new one.

Why this works: what this host detected in the last 10 s comes first, the newest first and of equally new crashes those of traits with the most; eight of the 32 places go in turn to the rest, the crashes of held traits that new hosts need. A trait takes four places at most. The bound of 32 stays.

--- a/internal/gateway/poison/poison.go
+++ b/internal/gateway/poison/poison.go
@@ -43,9 +43,11 @@
 	// the response.
 	clearedTTL = 10 * time.Second
 	// maxDigestEntries is the largest number of crashes and of cleared traits in a
-	// digest, and maxEntriesPerTrait that of crashes of one trait.
+	// digest, maxEntriesPerTrait that of crashes of one trait, and entriesInTurn that of
+	// crashes that take turns.
 	maxDigestEntries   = 32
-	maxEntriesPerTrait = 8
+	maxEntriesPerTrait = 4
+	entriesInTurn      = 8
 	// maxTraits is the largest number of traits with crashes that are kept.
 	maxTraits = 1024
 )
--- a/internal/gateway/poison/table.go
+++ b/internal/gateway/poison/table.go
@@ -55,6 +55,8 @@
 	cleared, clearedHere map[uint64]time.Duration
 	// trials holds the last trial of each part at this host.
 	trials map[uint64]trialSlot
+	// turn is the position of the next crash that takes its turn in a digest.
+	turn int
 }
 
 // NewTable returns a table without crashes.
