poison: what explains the crashes of a part, and what clears a suspect, is judged closer

Cause: a request was let through if suspects that it lacks explained all crashes of its part. The contents of other requests with the part, each sent four times by its caller and its host's retries, were such suspects, and together explained them all. Two crashing parts whose requests are at each engine that crashes would have explained each other for ever.

Why this works: the content of one request does not explain the crashes of a part that others share, and a suspect explains another's only if it has at least half as many. An explained request goes through freely up to five crashes; from then on it gets its trials earlier than others, but as few.

--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -22,6 +22,7 @@
 	eventHeld     = event.Define(905, zapcore.WarnLevel, "request held")
 	eventPartHeld = event.Define(909, zapcore.WarnLevel, "requests with a part held")
 	eventTrial    = event.Define(929, zapcore.WarnLevel, "held request tried")
+	eventCleared  = event.Define(930, zapcore.InfoLevel, "suspect cleared")
 )
 
 // traits returns what the request may have in common with others that crash upstreams.
@@ -89,7 +90,14 @@
 			// An upstream may report an error before it begins to answer.
 			complete.Parts = nil
 		}
-		p.h.Poison.RecordResponse(complete, boottime.Now())
+		p.emitCleared(p.h.Poison.RecordResponse(complete, boottime.Now()))
+	}
+}
+
+// emitCleared emits events about suspects that a response has cleared.
+func (p *proxyRequest) emitCleared(traits []poison.Trait) {
+	for _, trait := range traits {
+		p.h.Events.Emit(eventCleared, zap.String("request", p.call.ID), zap.Uint64("fingerprint", trait.Key), zap.String("part", trait.Part))
 	}
 }
 
@@ -103,7 +111,7 @@
 	}
 	a.answering = true
 	if a.h.Poison.Any() {
-		a.h.Poison.RecordAnswering(a.traits(), now)
+		a.emitCleared(a.h.Poison.RecordAnswering(a.traits(), now))
 	}
 }
 
--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -19,78 +19,79 @@
 	Trial bool
 }
 
+// suspect is a trait with enough crashes for a hold.
+type suspect struct {
+	Trait
+	// times are the sorted times of its crashes.
+	times []time.Duration
+	// explained is set when other suspects, which the request lacks, were part of the
+	// crashes too.
+	explained bool
+}
+
 // Judge decides whether a request is held. A request that is held for parts of its prompt
 // may be let through as a trial by one host at a time; hosts are the names of all that may
 // do so, among them this one, self.
 func (t *Table) Judge(request Request, self string, hosts []string, now time.Duration) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	holding := t.holding(request, now)
-	if len(holding) == 0 {
+	suspects := t.holding(request, now)
+	if len(suspects) == 0 {
 		return Verdict{}
 	}
-	if t.startTrial(holding, self, hosts, now) {
-		return Verdict{Trait: holding[0], Trial: true}
+	first := suspects[0]
+	if t.startTrial(suspects, self, hosts, now) {
+		return Verdict{Trait: first.Trait, Trial: true}
 	}
-	return Verdict{HeldUntil: t.heldUntil(holding[0].Key, now), Trait: holding[0]}
+	return Verdict{HeldUntil: first.times[len(first.times)-crashesToHold] + t.byTrait[first.Key].ttl(), Trait: first.Trait}
 }
 
 // holding returns the traits for which a request is held: those with crashesToHold crashes
-// that no other suspect explains, or with one such crash if there are more crashes in all.
-// A suspect that the request lacks explains a crash that it was part of as well.
+// that nothing else explains, or with more than crashesToConfirm.
 //
 // Scenario: all requests with a part that crashes upstreams come from one customer and
 // share the customer's own part too, of which sound requests come rarely. The first of
 // those shows which of both parts it is.
-func (t *Table) holding(request Request, now time.Duration) []Trait {
-	var holding []Trait
-	var others map[uint32][]time.Duration
+//
+// Scenario: requests with either of two crashing parts are at each upstream when it
+// crashes, so that each part explains the crashes of the other.
+func (t *Table) holding(request Request, now time.Duration) []suspect {
+	var holding []suspect
 	for _, trait := range request.traits() {
 		times := t.crashTimes(trait.Key, now)
 		if len(times) < crashesToHold {
 			continue
 		}
-		if others == nil {
-			others = t.crashesOfOthers(request, now)
-		}
-		unexplained := t.unexplained(trait.Key, others, now)
-		if unexplained >= crashesToHold || unexplained > 0 && len(times) > crashesToHold {
-			holding = append(holding, trait)
+		s := suspect{Trait: trait, times: times, explained: t.isExplained(trait, request)}
+		if !s.explained || len(times) > crashesToConfirm {
+			holding = append(holding, s)
 		}
 	}
 	return holding
 }
 
-// crashesOfOthers returns the times of the crashes of each upstream that are explained by
-// suspects that a request lacks. A suspect has crashesToHold crashes or more.
-func (t *Table) crashesOfOthers(request Request, now time.Duration) map[uint32][]time.Duration {
-	traits := request.traits()
+// isExplained reports whether all crashes of a trait, or if they are just enough for a
+// hold, some of them, may have been caused by suspects that a request lacks. Such a
+// suspect has at least half as many crashes. The content of one request does not explain
+// the crashes of a part that others share.
+func (t *Table) isExplained(trait Trait, request Request) bool {
+	crashes := t.byTrait[trait.Key]
 	others := map[uint32][]time.Duration{}
-	for key, crashes := range t.byTrait {
-		lacks := !slices.ContainsFunc(traits, func(trait Trait) bool { return trait.Key == key })
-		if lacks && len(t.crashTimes(key, now)) >= crashesToHold {
-			for upstream, c := range crashes {
-				others[upstream] = append(others[upstream], c.at)
-			}
+	for key, other := range t.byTrait {
+		if 2*len(other) < len(crashes) || len(other) < crashesToHold || request.has(key) || trait.Part != "" && !isPart(key) {
+			continue
+		}
+		for upstream, c := range other {
+			others[upstream] = append(others[upstream], c.at)
 		}
 	}
-	return others
-}
-
-// unexplained returns the number of crashes of a trait that are in none of the others.
-func (t *Table) unexplained(trait uint64, others map[uint32][]time.Duration, now time.Duration) int {
-	count := 0
-	crashes := t.byTrait[trait]
-	ttl := crashes.ttl()
+	unexplained := 0
 	for upstream, c := range crashes {
-		explained := slices.ContainsFunc(others[upstream], func(at time.Duration) bool {
-			return (at - c.at).Abs() <= crashSpread
-		})
-		if !explained && now-c.at < ttl {
-			count++
+		if !slices.ContainsFunc(others[upstream], func(at time.Duration) bool { return (at - c.at).Abs() <= crashSpread }) {
+			unexplained++
 		}
 	}
-	return count
+	return unexplained == 0 || unexplained < crashesToHold && len(crashes) == crashesToHold
 }
 
 // crashTimes returns the sorted times of the crashes of a trait that count.
@@ -110,13 +111,6 @@
 	return times
 }
 
-// heldUntil returns the boot time from which fewer than crashesToHold crashes of a trait
-// count.
-func (t *Table) heldUntil(trait uint64, now time.Duration) time.Duration {
-	times := t.crashTimes(trait, now)
-	return times[len(times)-crashesToHold] + t.byTrait[trait].ttl()
-}
-
 // Trials of held parts.
 //
 // Scenario: all engines crash at once, for another reason, while they read prompts of
@@ -129,9 +123,13 @@
 	trialSlotLength = 5 * time.Second
 )
 
-// trialDelays are the times from the last crash to the first trial after one, two, and
-// three or more rounds of crashes. Each trial that fails costs an upstream.
-var trialDelays = []time.Duration{4 * time.Second, 15 * time.Second, 30 * time.Minute}
+// The times from the last crash to the first trial after one, two, and three or more
+// rounds of crashes, of a suspect and of one whose crashes others explain. Each trial that
+// fails costs an upstream.
+var (
+	trialDelays          = []time.Duration{4 * time.Second, 15 * time.Second, 30 * time.Minute}
+	explainedTrialDelays = []time.Duration{time.Second, 8 * time.Second, 30 * time.Minute}
+)
 
 // trialSlot is a time in which one host may let one request through.
 type trialSlot struct {
@@ -140,40 +138,39 @@
 	round, number int
 }
 
-// slotAt returns the slot of a trait with crashes at the given times, and false before
-// the first.
-func slotAt(times []time.Duration, now time.Duration) (trialSlot, bool) {
+// slotAt returns the slot at a time, and false before the first.
+func (s suspect) slotAt(now time.Duration) (trialSlot, bool) {
 	rounds := 1
-	for i := 1; i < len(times); i++ {
-		if times[i]-times[i-1] >= roundGap {
+	for i := 1; i < len(s.times); i++ {
+		if s.times[i]-s.times[i-1] >= roundGap {
 			rounds++
 		}
 	}
-	waited := now - times[len(times)-1] - trialDelays[min(rounds, len(trialDelays))-1]
+	delays := trialDelays
+	if s.explained {
+		delays = explainedTrialDelays
+	}
+	waited := now - s.times[len(s.times)-1] - delays[min(rounds, len(delays))-1]
 	if waited < 0 {
 		return trialSlot{}, false
 	}
 	return trialSlot{rounds, int(waited / trialSlotLength)}, true
 }
 
-// startTrial reports whether a request that is held for the given traits is let through,
-// and marks its parts as tried. A request that is held for its content is not.
-func (t *Table) startTrial(holding []Trait, self string, hosts []string, now time.Duration) bool {
+// startTrial reports whether a request that is held for the given suspects is let through,
+// and marks them as tried. A request that is held for its content is not.
+func (t *Table) startTrial(suspects []suspect, self string, hosts []string, now time.Duration) bool {
 	slots := map[uint64]trialSlot{}
-	for _, trait := range holding {
-		if trait.Part == "" {
-			return false
-		}
-		slot, due := slotAt(t.crashTimes(trait.Key, now), now)
-		if !due || t.trials[trait.Key] == slot {
+	for _, s := range suspects {
+		slot, due := s.slotAt(now)
+		if s.Part == "" || !due || t.trials[s.Key] == slot {
 			return false
 		}
-		slots[trait.Key] = slot
+		slots[s.Key] = slot
 	}
-	// The parts of one request are tried by one host, by the first of them.
-	first := slots[holding[0].Key]
-	key := fmt.Sprintf("trial/%d/%d/%d", holding[0].Key, first.round, first.number)
-	if rendezvous.First(key, hosts) != self {
+	// The parts of one request are tried by one host, chosen by the first of them.
+	first := suspects[0].Key
+	if rendezvous.First(fmt.Sprintf("trial/%d/%d/%d", first, slots[first].round, slots[first].number), hosts) != self {
 		return false
 	}
 	for trait, slot := range slots {
--- a/internal/gateway/poison/poison.go
+++ b/internal/gateway/poison/poison.go
@@ -12,6 +12,7 @@
 package poison
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -70,6 +71,11 @@
 // traits returns all traits of the request.
 func (r Request) traits() []Trait { return append([]Trait{r.Content}, r.Parts...) }
 
+// has reports whether the request has a trait.
+func (r Request) has(key uint64) bool {
+	return r.Content.Key == key || slices.ContainsFunc(r.Parts, func(part Trait) bool { return part.Key == key })
+}
+
 // Content returns the trait of all requests with the same content from one customer.
 func Content(method, target, customer string, body []byte) Trait {
 	h := xxhash.New()
@@ -80,5 +86,14 @@
 
 // Part returns the trait of all requests to a service that share a part of their prompts.
 func Part(service, id string) Trait {
-	return Trait{Key: xxhash.Sum64String(strings.Join([]string{"part", service, id}, "\x00")), Part: id}
+	hash := xxhash.Sum64String(strings.Join([]string{"part", service, id}, "\x00"))
+	return Trait{Key: hash&^partMask | partMark, Part: id}
 }
+
+// The keys of parts end with a mark, so that hosts know them from those of contents.
+const (
+	partMask = 1<<16 - 1
+	partMark = 0x9e37
+)
+
+func isPart(key uint64) bool { return key&partMask == partMark }
--- a/internal/gateway/poison/table.go
+++ b/internal/gateway/poison/table.go
@@ -107,9 +107,9 @@
 		}
 	}
 	for _, request := range requests {
-		for _, trait := range t.holding(request, now) {
-			if !slices.Contains(held, trait) {
-				held = append(held, trait)
+		for _, s := range t.holding(request, now) {
+			if !slices.Contains(held, s.Trait) {
+				held = append(held, s.Trait)
 			}
 		}
 	}
@@ -154,31 +154,34 @@
 }
 
 // RecordResponse records a complete response to a request, which clears the crashes of
-// its traits.
-func (t *Table) RecordResponse(request Request, now time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, trait := range request.traits() {
-		t.clearHere(trait.Key, now)
-	}
+// its traits. It returns those of them that had enough crashes for a hold.
+func (t *Table) RecordResponse(request Request, now time.Duration) []Trait {
+	return t.clearHere(request.traits(), now)
 }
 
 // RecordAnswering records that an upstream has been answering a request for
-// AnsweringFor, which clears the crashes of the parts of its prompt.
-func (t *Table) RecordAnswering(request Request, now time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, part := range request.Parts {
-		t.clearHere(part.Key, now)
-	}
+// AnsweringFor, which clears the crashes of the parts of its prompt. It returns those of
+// them that had enough crashes for a hold.
+func (t *Table) RecordAnswering(request Request, now time.Duration) []Trait {
+	return t.clearHere(request.Parts, now)
 }
 
-// clearHere clears a trait after a response at this host.
-func (t *Table) clearHere(trait uint64, now time.Duration) {
-	if t.byTrait[trait] != nil {
-		t.clearedHere[trait] = now
-		t.clear(trait, now)
+// clearHere clears traits after a response at this host.
+func (t *Table) clearHere(traits []Trait, now time.Duration) []Trait {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var lifted []Trait
+	for _, trait := range traits {
+		crashes := t.byTrait[trait.Key]
+		if len(crashes) >= crashesToHold {
+			lifted = append(lifted, trait)
+		}
+		if crashes != nil {
+			t.clearedHere[trait.Key] = now
+			t.clear(trait.Key, now)
+		}
 	}
+	return lifted
 }
 
 // clear drops the crashes of a trait up to a response.
