control/poison: hold prompts whose shared beginning crashes engines

Prompts of which no two are alike, but that begin with the same eight words, took all engines of a deployment down (TestPromptsThatShareACrashingBeginningAreHeld: 24 crashes under twelve prompts were possible, its engines were all gone after two; sound requests then failed).

Why this works: what its prompts can share is their beginning, by which engines cache. It is reported beside the request, marked among the fingerprints so that the messages stay as they are, and held after three rounds of crashes more than a second apart, unless one request was lost in all of them or a prompt with it was answered meanwhile.

A beginning that many prompts share is not held while sound ones are answered, nor when all upstreams restart at once (TestPopularBeginningIsNotHeldForCrashes).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,7 +138,10 @@
 	// RequestID is the request's ID; Fingerprint identifies its content.
 	RequestID   string
 	Fingerprint uint64
-	Started     time.Time
+	// Beginning identifies the beginning of the prompt, 0 if it has none that others may
+	// share.
+	Beginning uint64
+	Started   time.Time
 	// FirstToken is the latency of the first token and Between the mean time
 	// between tokens; 0 if there was none.
 	FirstToken, Between, Took time.Duration
--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -10,6 +10,10 @@
 // count as a crash if the upstream completes an attempt that began before the
 // loss, is leaving or has a reclaim notice, or if another upstream crashes at the
 // same time with other requests.
+//
+// Prompts of which no two are alike may crash upstreams by what they share. The beginning
+// of a prompt, which others may share, is reported beside its request, and held after
+// roundsToHold rounds of crashes.
 package poison
 
 import (
@@ -24,6 +28,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/kernel"
 	"github.com/marigoldmux/marigoldmux/internal/platform/hostlist"
 	"github.com/marigoldmux/marigoldmux/internal/platform/logsvc"
+	"github.com/marigoldmux/marigoldmux/internal/prefix"
 	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 )
@@ -69,9 +74,11 @@
 type crash struct {
 	service, upstream string
 	first, last       time.Time
-	// lost holds the weight of the loss of each request, by fingerprint.
-	lost      map[uint64]int
-	evaluated bool
+	// lost holds the weight of the loss of each request, by fingerprint, and beginnings
+	// those of prompts that were lost before their first token.
+	lost       map[uint64]int
+	beginnings map[uint64]bool
+	evaluated  bool
 }
 
 func init() { kernel.Register(&Machine{}) }
@@ -208,6 +215,10 @@
 		m.lastLoss[in.Upstream] = now
 		if in.Tokens == 0 {
 			suspects.Lost = []uint64{in.Fingerprint}
+			if in.Beginning != 0 {
+				m.reported[in.Beginning] = now
+				suspects.Lost = append(suspects.Lost, in.Beginning)
+			}
 		} else {
 			suspects.Interrupted = []uint64{in.Fingerprint}
 		}
@@ -232,6 +243,11 @@
 		delete(m.reported, in.Fingerprint)
 		suspects.Answered = []uint64{in.Fingerprint}
 	}
+	// The coordinator hears of losses at other hosts, too.
+	if _, reported := m.reported[in.Beginning]; reported || in.Beginning != 0 && m.beginningInCrash(in.Beginning) {
+		delete(m.reported, in.Beginning)
+		suspects.Answered = append(suspects.Answered, in.Beginning)
+	}
 	if lost, known := m.lastLoss[in.Upstream]; known && in.Started.Before(lost) {
 		delete(m.lastLoss, in.Upstream)
 		suspects.Alive = true
@@ -253,6 +269,7 @@
 	for _, fingerprint := range suspects.GetAnswered() {
 		for _, c := range m.crashes {
 			delete(c.lost, fingerprint)
+			delete(c.beginnings, fingerprint)
 		}
 	}
 	id := suspects.GetUpstream()
@@ -266,7 +283,11 @@
 	}
 	c := m.crashFor(now, suspects.GetService(), id)
 	for _, fingerprint := range suspects.GetLost() {
-		c.lost[fingerprint] = lostWeight
+		if prefix.IsBeginning(fingerprint) {
+			c.beginnings[fingerprint] = true
+		} else {
+			c.lost[fingerprint] = lostWeight
+		}
 	}
 	for _, fingerprint := range suspects.GetInterrupted() {
 		c.lost[fingerprint] = max(c.lost[fingerprint], interruptedWeight)
@@ -282,7 +303,7 @@
 			return c
 		}
 	}
-	c := &crash{service: service, upstream: id, first: now, last: now, lost: map[uint64]int{}}
+	c := &crash{service: service, upstream: id, first: now, last: now, lost: map[uint64]int{}, beginnings: map[uint64]bool{}}
 	m.crashes = append(m.crashes, c)
 	return c
 }
@@ -299,12 +320,16 @@
 		c.evaluated = true
 		if m.correlated(c) {
 			clear(c.lost)
-			continue
 		}
 		if !m.hasAllEvidence(c) {
 			continue
 		}
 		outs = append(outs, m.evaluate(now, c)...)
+		for _, beginning := range m.evaluateBeginnings(c) {
+			if m.holds[beginning].Before(now) {
+				outs = append(outs, m.publishHold(now, beginning)...)
+			}
+		}
 	}
 	return outs
 }
--- a/internal/control/poison/poison_test.go
+++ b/internal/control/poison/poison_test.go
@@ -220,6 +220,73 @@
 	})
 }
 
+// Scenario: prompts of which no two are alike begin with the same words, which crash the
+// engines that run them, beside sound prompts with other beginnings.
+func TestPromptsThatShareACrashingBeginningAreHeld(t *testing.T) {
+	const beginning, maxCrashes = "you are the desk of a studio please " + standin.CrashMarker, 5 + 3
+	config, err := deploy.Config("chomkaew")
+	require.NoError(t, err)
+	synctest.Test(t, func(t *testing.T) {
+		bed := testbed.Start(t, testbed.Options{
+			Config: config, Hosts: 4, Seed: 5,
+			Engine: standin.EngineOptions{Between: 20 * time.Millisecond, Prefill: time.Millisecond},
+		})
+		defer bed.Close()
+		time.Sleep(10 * time.Second)
+		crashes := 0
+		sound := func(i int) int {
+			return sendRequest(bed.Nodes[i%4], fmt.Sprintf("you are the desk of a studio for cakes at table %d", i), 10)
+		}
+		for i := range 12 {
+			sendRequest(bed.Nodes[i%4], fmt.Sprintf("%s for table %d", beginning, i), 10)
+			for _, engine := range bed.Engines {
+				if _, err := engine.Load(context.Background()); err != nil {
+					crashes++
+					engine.Restart()
+				}
+			}
+			time.Sleep(2500 * time.Millisecond)
+			require.Equal(t, http.StatusOK, sound(i))
+		}
+		require.LessOrEqual(t, crashes, maxCrashes)
+		for i, n := range bed.Nodes {
+			require.Equal(t, http.StatusUnprocessableEntity, sendRequest(n, fmt.Sprintf("%s for guest %d", beginning, i), 10))
+			require.Equal(t, http.StatusOK, sound(i))
+		}
+	})
+}
+
+// TestPopularBeginningIsNotHeldForCrashes checks that prompts with a beginning that many
+// share are not held while engines crash for other reasons.
+func TestPopularBeginningIsNotHeldForCrashes(t *testing.T) {
+	const popular = uint64(7<<16 | 0x9e37)
+	attempt := func(f *fixture, id string, fingerprint uint64, failure *upstream.Failure) {
+		f.machine.Step(f.now, control.AttemptEnded{
+			Upstream: id, Service: "s", Fingerprint: fingerprint, Beginning: popular, Started: f.now.Add(-time.Second), Failure: failure,
+		})
+	}
+	lost := &upstream.Failure{Kind: upstream.Lost}
+	f := newFixture()
+	for i := range uint64(6) {
+		attempt(f, fmt.Sprint("u", i), i, lost)
+		f.wait()
+		attempt(f, "other", 100+i, nil)
+	}
+	require.Empty(t, f.held(), "sound prompts begin alike")
+	f = newFixture()
+	for i := range uint64(6) {
+		attempt(f, fmt.Sprint("u", i), i, lost)
+	}
+	f.wait()
+	require.Empty(t, f.held(), "all upstreams restarted at once")
+	f = newFixture()
+	for i := range uint64(3) {
+		attempt(f, fmt.Sprint("u", i), i, lost)
+		f.wait()
+	}
+	require.Contains(t, f.held(), popular)
+}
+
 // TestHoldReachesALateHostThroughTheLog checks that a host that starts after the
 // hold was sent to the members reads it from the log.
 func TestHoldReachesALateHostThroughTheLog(t *testing.T) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -88,7 +88,7 @@
 func (d *Dispatcher) acquire(ctx context.Context, call *Call, failed map[string]bool) (*route.Lease, *request.Result) {
 	for {
 		snapshot := d.opts.Snapshot()
-		if snapshot.Held(call.Request.Fingerprint, time.Now()) {
+		if isHeld(snapshot, call.Request.Fingerprint, call.Request.Prompt) {
 			return nil, d.giveUp(call, request.ReasonHeldBack)
 		}
 		d.resetFailed(ctx, call, snapshot, failed)
@@ -119,6 +119,12 @@
 	return d.opts.Router.Acquire(ctx, d.query(call, call.pinnedVersion(), failed))
 }
 
+// isHeld reports whether a request is held, for its content or the beginning of its prompt.
+func isHeld(snapshot *control.Snapshot, fingerprint uint64, prompt string) bool {
+	now := time.Now()
+	return snapshot.Held(fingerprint, now) || snapshot.Held(prefix.Beginning(prompt), now)
+}
+
 func refusalReason(err error) request.Reason {
 	var overload *route.OverloadError
 	if errors.As(err, &overload) {
@@ -262,7 +268,7 @@
 	ended := control.AttemptEnded{
 		Upstream: a.upstream.ID, Zone: a.upstream.Zone, Service: a.call.Request.Service, Route: a.call.Request.Route,
 		Version: a.upstream.Version, Customer: a.call.Request.Customer,
-		RequestID: a.call.Request.ID, Fingerprint: a.call.Request.Fingerprint,
+		RequestID: a.call.Request.ID, Fingerprint: a.call.Request.Fingerprint, Beginning: prefix.Beginning(a.call.Request.Prompt),
 		Started: a.started, Took: now.Sub(a.started), Tokens: a.tokens, Recomputed: a.recomputed,
 		Cold: a.upstream.Cold,
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -242,7 +242,7 @@
 	}
 	now := time.Now()
 	fingerprint := request.Fingerprint(sub.Service, sub.Route, sub.Prompt, sub.Body)
-	if snapshot.Held(fingerprint, now) {
+	if isHeld(snapshot, fingerprint, sub.Prompt) {
 		return nil, refuse(request.ReasonHeldBack, 0, "requests like this one stopped several upstreams")
 	}
 	deadline := r.Deadline.D()
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -20,6 +20,38 @@
 // Hash returns the hash of a prompt's prefix, which engines use in their cache
 // events, or 0 for a prompt without words.
 func Hash(prompt string) uint64 {
+	return hashTo(prompt, length(prompt))
+}
+
+// The values of Beginning end with a mark, so that they are known from other hashes.
+const (
+	beginningMask = 1<<16 - 1
+	beginningMark = 0x9e37
+)
+
+// Beginning returns what identifies a prompt's prefix among fingerprints of requests, or 0
+// if nothing follows the prefix: no other request need share it then.
+func Beginning(prompt string) uint64 {
+	end := length(prompt)
+	if strings.TrimSpace(prompt[end:]) == "" {
+		return 0
+	}
+	return hashTo(prompt, end)&^beginningMask | beginningMark
+}
+
+// IsBeginning reports whether a value is one of Beginning.
+func IsBeginning(key uint64) bool { return key&beginningMask == beginningMark }
+
+// hashTo returns the hash of the first bytes of a prompt, 0 if there are none.
+func hashTo(prompt string, end int) uint64 {
+	if end == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(strings.TrimLeft(prompt[:end], " \t\n"))
+}
+
+// length returns the length of a prompt's prefix in bytes, 0 for a prompt without words.
+func length(prompt string) int {
 	end, words := 0, 0
 	for words < Words && end < len(prompt) {
 		start := end + len(prompt[end:]) - len(strings.TrimLeft(prompt[end:], " \t\n"))
@@ -34,10 +66,7 @@
 		}
 		words++
 	}
-	if words == 0 {
-		return 0
-	}
-	return xxhash.Sum64String(strings.TrimLeft(prompt[:end], " \t\n"))
+	return end
 }
 
 // Set is the set of prefixes in one engine's cache, as far as known from its
