rollout: a version whose streams are slow is rolled back

Cause: a version was judged by failures and by the time to the first event. An engine that generates slowly reads prompts as fast as others, so the first event is nearly on time and the rest of the stream is late.

Why this works: the mean time between two events of each stream is counted by version and route and judged like the other time, until the target gets all requests: streams are compared with those of the same moments, since their pace depends on the load. From 1.3 times on a version is rolled back.

No limit tells these from sound versions at every load.

Digests carry the paces behind the parts of former builds, which do not read them. TestVersionWithSlowStreamsIsRolledBack fails on the former code.

--- a/internal/gateway/duty/rollouts.go
+++ b/internal/gateway/duty/rollouts.go
@@ -76,7 +76,8 @@
 
 // versionStatsField returns the statistics of a version as a log field.
 func versionStatsField(key string, s members.VersionStats) zap.Field {
-	return zap.Dict(key, zap.Uint64("answers", s.Responses), zap.Uint64("failures", s.Failures), zap.Duration("mean", s.Mean()))
+	return zap.Dict(key, zap.Uint64("answers", s.Responses), zap.Uint64("failures", s.Failures), zap.Duration("mean", s.Latency().Mean()),
+		zap.Duration("pace", s.Pace.Mean()))
 }
 
 // startRun starts a rollout, or resumes it if the ledger has the progress of an
--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -48,8 +48,9 @@
 	// response, or the first event of its stream, was read; 0 if it was not
 	// later.
 	extraLatency time.Duration
-	// latency is the time to the response or to the first event of its stream.
-	latency time.Duration
+	// latency is the time to the response or to the first event of its stream, and pace
+	// the mean time between two of its events, 0 if there were fewer.
+	latency, pace time.Duration
 	// withheld is set when nothing was sent since the upstream wants no requests;
 	// it can be reached.
 	withheld bool
@@ -107,6 +108,8 @@
 	// set when the upstream has sent events for poison.AnsweringFor since.
 	firstEventAt time.Duration
 	answering    bool
+	// events is the number of events that the upstream sent in this attempt.
+	events int
 }
 
 // attempt sends the request to one upstream and sends its response on to the
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -226,7 +226,10 @@
 func (p *proxyRequest) recordVersionResult(m *catalog.Member, result outcome) {
 	switch result.disposition {
 	case finished, unknown, failed:
-		p.h.InFlight.RecordOutcome(m, p.route.Name, result.disposition != finished || result.serverError, result.latency, boottime.Now())
+		outcome := inflight.Outcome{
+			Failed: result.disposition != finished || result.serverError, Latency: result.latency, Pace: result.pace,
+		}
+		p.h.InFlight.RecordOutcome(m, p.route.Name, outcome, boottime.Now())
 	case notSent, notRun, callerGone:
 	}
 }
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -130,6 +130,7 @@
 	}
 	a.lastReceivedAt, a.lastEventAt = now, now
 	a.inFlight.Received(now)
+	a.events++
 	a.recordAnswering(now)
 	a.countUsage(a.h.Usage.Now())
 }
@@ -187,7 +188,15 @@
 	r.sendHeader()
 	r.runs++
 	r.logCompleted(r.resp.StatusCode)
-	return delimited(r.resp), outcome{disposition: finished, extraLatency: r.extraLatency, latency: r.latency, success: true}
+	return delimited(r.resp), outcome{disposition: finished, extraLatency: r.extraLatency, latency: r.latency, pace: r.pace(), success: true}
+}
+
+// pace returns the mean time between two events, 0 if there were fewer.
+func (a *attempt) pace() time.Duration {
+	if a.events < 2 {
+		return 0
+	}
+	return (a.lastReceivedAt - a.firstEventAt) / time.Duration(a.events-1)
 }
 
 // streamErrorOutcome returns the outcome of an attempt whose stream broke off.
--- a/internal/gateway/inflight/inflight.go
+++ b/internal/gateway/inflight/inflight.go
@@ -90,15 +90,26 @@
 	t.demand[service] = d
 }
 
+// Outcome is the outcome of a request at an upstream.
+type Outcome struct {
+	Failed bool
+	// Latency is the time to the response or first event, and Pace the mean time between
+	// two events of the stream, 0 if it had fewer.
+	Latency, Pace time.Duration
+}
+
 // RecordOutcome counts the response of an upstream to a request on a route.
-func (t *Tracker) RecordOutcome(m *catalog.Member, route string, failed bool, latency, now time.Duration) {
+func (t *Tracker) RecordOutcome(m *catalog.Member, route string, o Outcome, now time.Duration) {
 	s := members.VersionStats{
 		Service: m.Service, Version: m.Version, Route: route,
-		Responses: 1, LatencySum: latency, LatencySquares: latency.Seconds() * latency.Seconds(),
+		Responses: 1, LatencySum: o.Latency, LatencySquares: o.Latency.Seconds() * o.Latency.Seconds(),
 	}
-	if failed {
+	if o.Failed {
 		s.Failures = 1
 	}
+	if o.Pace > 0 {
+		s.Pace = members.TimingOf(o.Pace)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.versions[s.Key()] = s.Plus(t.versions[s.Key()])
--- a/internal/gateway/members/codec.go
+++ b/internal/gateway/members/codec.go
@@ -20,10 +20,12 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrDigest, err.Error())
 	}
-	if d.Extension.empty() {
+	sent := d.Extension
+	sent.Paces = paces(d.VersionStats)
+	if sent.empty() {
 		return data, nil
 	}
-	extension, err := msgpack.Marshal(&d.Extension)
+	extension, err := msgpack.Marshal(&sent)
 	if err != nil {
 		return nil, eris.Wrap(ErrDigest, err.Error())
 	}
@@ -47,5 +49,7 @@
 	if err := decoder.Decode(&d.Extension); err != nil {
 		return Digest{}, eris.Wrap(ErrDigest, err.Error())
 	}
+	setPaces(d.VersionStats, d.Extension.Paces)
+	d.Extension.Paces = nil
 	return d, nil
 }
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -119,10 +119,38 @@
 	Strength float64 `msgpack:"strength,omitempty"`
 	// Uptime is the time since the process began to use quotas.
 	Uptime time.Duration `msgpack:"up,omitempty"`
+	// Paces are those of VersionStats, only on the wire.
+	Paces []Pace `msgpack:"paces,omitempty"`
 }
 
 func (e Extension) empty() bool {
-	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0
+	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0
+}
+
+// paces returns the paces of versions as they are sent.
+func paces(stats []VersionStats) []Pace {
+	var sent []Pace
+	for _, s := range stats {
+		if s.Pace.Count > 0 {
+			sent = append(sent, Pace{
+				Service: s.Service, Version: s.Version, Route: s.Route,
+				Streams: s.Pace.Count, Sum: s.Pace.Sum, Squares: s.Pace.Squares,
+			})
+		}
+	}
+	return sent
+}
+
+// setPaces sets the paces of versions to those received.
+func setPaces(stats []VersionStats, received []Pace) {
+	for _, pace := range received {
+		key := VersionStats{Service: pace.Service, Version: pace.Version, Route: pace.Route}.Key()
+		for i := range stats {
+			if stats[i].Key() == key {
+				stats[i].Pace = Timing{pace.Streams, pace.Sum, pace.Squares}
+			}
+		}
+	}
 }
 
 // Trim returns a copy of the digest reduced to a level of detail.
@@ -162,6 +190,60 @@
 	// LatencySquares that of their squares, in square seconds.
 	LatencySum     time.Duration
 	LatencySquares float64
+	// Pace is the mean time between two events of a stream. It is sent in
+	// Extension.Paces.
+	Pace Timing `msgpack:"-"`
+}
+
+// Timing holds the sums of a number of times.
+type Timing struct {
+	Count uint64
+	Sum   time.Duration
+	// Squares is the sum of the squares, in square seconds.
+	Squares float64
+}
+
+// TimingOf returns the Timing of one time.
+func TimingOf(d time.Duration) Timing {
+	return Timing{Count: 1, Sum: d, Squares: d.Seconds() * d.Seconds()}
+}
+
+func (t Timing) plus(other Timing) Timing {
+	return Timing{t.Count + other.Count, t.Sum + other.Sum, t.Squares + other.Squares}
+}
+
+// minus returns the growth since before.
+func (t Timing) minus(before Timing) Timing {
+	return Timing{t.Count - min(before.Count, t.Count), t.Sum - min(before.Sum, t.Sum), t.Squares - min(before.Squares, t.Squares)}
+}
+
+// Mean returns the mean time, 0 if there is none.
+func (t Timing) Mean() time.Duration {
+	if t.Count == 0 {
+		return 0
+	}
+	return t.Sum / time.Duration(t.Count)
+}
+
+// MeanError returns the standard error of the mean, 0 below two times.
+func (t Timing) MeanError() time.Duration {
+	if t.Count < 2 {
+		return 0
+	}
+	n := float64(t.Count)
+	mean := t.Mean().Seconds()
+	variance := max(0, t.Squares/n-mean*mean) / (n - 1)
+	return time.Duration(math.Sqrt(variance) * float64(time.Second))
+}
+
+// Pace is the pace of the streams of one version on one route.
+type Pace struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // option of the codec
+
+	Service, Version, Route string
+	Streams                 uint64
+	Sum                     time.Duration
+	Squares                 float64
 }
 
 // Key identifies the version and route.
@@ -173,6 +255,7 @@
 	s.Failures += other.Failures
 	s.LatencySum += other.LatencySum
 	s.LatencySquares += other.LatencySquares
+	s.Pace = s.Pace.plus(other.Pace)
 	return s
 }
 
@@ -182,27 +265,12 @@
 	s.Failures -= min(before.Failures, s.Failures)
 	s.LatencySum -= min(before.LatencySum, s.LatencySum)
 	s.LatencySquares -= min(before.LatencySquares, s.LatencySquares)
+	s.Pace = s.Pace.minus(before.Pace)
 	return s
 }
 
-// Mean returns the mean time to the response or first event, 0 without responses.
-func (s VersionStats) Mean() time.Duration {
-	if s.Responses == 0 {
-		return 0
-	}
-	return s.LatencySum / time.Duration(s.Responses)
-}
-
-// MeanError returns the standard error of the mean, 0 below two responses.
-func (s VersionStats) MeanError() time.Duration {
-	if s.Responses < 2 {
-		return 0
-	}
-	n := float64(s.Responses)
-	mean := s.Mean().Seconds()
-	variance := max(0, s.LatencySquares/n-mean*mean) / (n - 1)
-	return time.Duration(math.Sqrt(variance) * float64(time.Second))
-}
+// Latency returns the times to the response or first event.
+func (s VersionStats) Latency() Timing { return Timing{s.Responses, s.LatencySum, s.LatencySquares} }
 
 // UpstreamStats counts the responses of one upstream.
 type UpstreamStats struct {
--- a/internal/gateway/rollout/rollout.go
+++ b/internal/gateway/rollout/rollout.go
@@ -107,7 +107,7 @@
 		return
 	}
 	target, baseline := r.sinceStart(stats.Versions)
-	r.Evidence = Compare(target, baseline, stats.Upstreams)
+	r.Evidence = Compare(target, baseline, stats.Upstreams, r.fullShareAt > 0)
 	if r.Evidence.Verdict == Bad {
 		r.State, r.Share, r.Acknowledged = RolledBack, 0, false
 		return
--- a/internal/gateway/rollout/rollout_test.go
+++ b/internal/gateway/rollout/rollout_test.go
@@ -42,8 +42,13 @@
 	fails         func(route string, now time.Duration) bool
 	broken        func(upstream int, now time.Duration) bool
 	targetLatency func(now time.Duration) time.Duration
+	// targetPace is the pace of the target's streams compared with that of the others.
+	targetPace float64
 }
 
+// usualPace is the mean pace of streams.
+const usualPace = 26 * time.Millisecond
+
 // upstreamCount is the number of upstreams of the target.
 const upstreamCount = 6
 
@@ -56,6 +61,7 @@
 		fails:         func(string, time.Duration) bool { return false },
 		broken:        func(int, time.Duration) bool { return false },
 		targetLatency: func(time.Duration) time.Duration { return 60 * time.Millisecond },
+		targetPace:    1,
 	}
 	f.run = rollout.New("v2", nil, 0, startedAt)
 	return f
@@ -69,6 +75,13 @@
 	if failed {
 		s.Failures = 1
 	}
+	if f.streams {
+		pace := float64(usualPace) * (0.5 + f.rand.Float64())
+		if version == "v2" {
+			pace *= f.targetPace
+		}
+		s.Pace = members.TimingOf(time.Duration(pace))
+	}
 	f.stats[s.Key()] = s.Plus(f.stats[s.Key()])
 }
 
@@ -142,6 +155,31 @@
 	}
 }
 
+// Load pattern: a version whose first events are on time, but whose streams take several
+// times as long.
+func TestVersionWithSlowStreamsIsRolledBack(t *testing.T) {
+	for _, slower := range []float64{2.5, 4, 8} {
+		f := newFleet(t, 12*time.Second, 40)
+		f.streams, f.targetPace = true, slower
+		f.runFor(12 * time.Second)
+		require.Equal(t, rollout.RolledBack, f.run.State, "%v times", slower)
+		require.LessOrEqual(t, f.targetRequests, 50.0)
+	}
+}
+
+// Scenario: all requests move to engines whose caches are empty, so that streams are
+// slow for a while.
+func TestHealthyVersionWithEmptyCachesCompletes(t *testing.T) {
+	f := newFleet(t, 12*time.Second, 40)
+	f.streams = true
+	for f.run.Share < 1 && f.now < f.spec.Within {
+		f.runFor(stepInterval)
+	}
+	f.targetPace = 3
+	f.runFor(f.spec.Within - f.now)
+	require.Equal(t, rollout.Completed, f.run.State, "%+v", f.run.Evidence)
+}
+
 // Scenario: up to two of six upstreams of a healthy version fail many of their
 // requests for three seconds, at any time of the rollout. The version must never be
 // rolled back. At least 95 percent of the rollouts complete in time; the others may
@@ -199,11 +237,11 @@
 	baseline := map[string]members.VersionStats{
 		"a": stats(500, 5, 60*time.Millisecond), "b": stats(500, 5, 60*time.Millisecond), "c": stats(500, 5, 60*time.Millisecond),
 	}
-	evidence := rollout.Compare(target, baseline, upstreams)
+	evidence := rollout.Compare(target, baseline, upstreams, false)
 	require.Equal(t, rollout.Bad, evidence.Verdict)
 	require.Equal(t, "b", evidence.Route)
 	target["b"] = stats(20, 0, 60*time.Millisecond)
-	require.Equal(t, rollout.Inconclusive, rollout.Compare(target, baseline, upstreams).Verdict)
+	require.Equal(t, rollout.Inconclusive, rollout.Compare(target, baseline, upstreams, false).Verdict)
 }
 
 // Half of the responses of a bad version are several times slower.
--- a/internal/gateway/rollout/verdict.go
+++ b/internal/gateway/rollout/verdict.go
@@ -30,13 +30,23 @@
 	maxFaultyShare     = 1.0 / 3
 	spreadFactor       = 0.5
 	maxExcusedFailures = 25
-	// A version is too slow if its mean latency exceeds slowFactor times that of
-	// the baseline plus slowMargin, and the mean less its standard error exceeds
-	// confidentFactor times that of the baseline plus confidentMargin.
-	slowFactor      = 1.8
-	slowMargin      = 40 * time.Millisecond
-	confidentFactor = 1.3
-	confidentMargin = 20 * time.Millisecond
+)
+
+// slowLimits bounds a time of the target relative to that of the baseline. The target is
+// too slow if its mean exceeds factor times that of the baseline plus margin, and the mean
+// less its standard error exceeds confidentFactor times that of the baseline plus half of
+// the margin.
+type slowLimits struct {
+	factor, confidentFactor float64
+	margin                  time.Duration
+}
+
+// The limits of the time to the response or first event, and of the pace of streams. While
+// the target gets a small share, its engines run fewer requests, so the streams of a sound
+// one are rather faster.
+var (
+	latencyLimits = slowLimits{factor: 1.8, confidentFactor: 1.3, margin: 40 * time.Millisecond}
+	paceLimits    = slowLimits{factor: 1.3, confidentFactor: 1.15, margin: 2 * time.Millisecond}
 )
 
 // Evidence holds what a verdict is based on: the responses of the target and of
@@ -67,12 +77,13 @@
 // Compare returns the worst verdict on a target, on one route or over all routes,
 // with its evidence. baseline holds the other versions; upstreams holds the
 // responses of the target's upstreams. Failures that are limited to few upstreams
-// are not blamed on the version.
-func Compare(target, baseline map[string]members.VersionStats, upstreams []members.UpstreamStats) Evidence {
-	spread := failuresSpread(upstreams)
-	worst := evaluate(total(target), total(baseline), spread)
+// are not blamed on the version. fullShare is set when the target gets all requests: its
+// streams are not compared with earlier ones then, as the pace depends on the load.
+func Compare(target, baseline map[string]members.VersionStats, upstreams []members.UpstreamStats, fullShare bool) Evidence {
+	c := criteria{failuresSpread: failuresSpread(upstreams), judgePace: !fullShare}
+	worst := c.evaluate(total(target), total(baseline))
 	for _, route := range slices.Sorted(maps.Keys(target)) {
-		if routeEvidence := evaluate(target[route], baseline[route], spread); routeEvidence.Verdict > worst.Verdict {
+		if routeEvidence := c.evaluate(target[route], baseline[route]); routeEvidence.Verdict > worst.Verdict {
 			worst = routeEvidence
 			worst.Route = route
 		}
@@ -80,12 +91,25 @@
 	return worst
 }
 
-// evaluate compares the responses of a target with those of the baseline. spread
-// is set when failures are not limited to few upstreams of the target.
-func evaluate(target, baseline members.VersionStats, spread bool) Evidence {
+// criteria are what a target is judged by.
+type criteria struct {
+	// failuresSpread is set when failures are not limited to few upstreams of the target.
+	failuresSpread bool
+	// judgePace is set when the pace of streams counts.
+	judgePace bool
+}
+
+// evaluate compares the responses of a target with those of the baseline.
+func (c criteria) evaluate(target, baseline members.VersionStats) Evidence {
 	e := Evidence{Target: target, Baseline: baseline}
 	if target.Responses >= minResponses {
-		e.Verdict = max(failureVerdict(target, baseline, spread), latencyVerdict(target, baseline))
+		e.Verdict = max(
+			failureVerdict(target, baseline, c.failuresSpread),
+			latencyLimits.verdict(target.Latency(), baseline.Latency()),
+		)
+		if c.judgePace {
+			e.Verdict = max(e.Verdict, paceLimits.verdict(target.Pace, baseline.Pace))
+		}
 	}
 	return e
 }
@@ -100,16 +124,19 @@
 	return Bad
 }
 
-func latencyVerdict(target, baseline members.VersionStats) Verdict {
+func (l slowLimits) verdict(target, baseline members.Timing) Verdict {
+	enough := target.Count >= minResponses && baseline.Count >= minResponses
 	switch {
-	case !slower(target.Mean(), baseline, slowFactor, slowMargin):
+	case !enough || target.Mean() <= scaled(baseline.Mean(), l.factor)+l.margin:
 		return Healthy
-	case !slower(target.Mean()-target.MeanError(), baseline, confidentFactor, confidentMargin):
+	case target.Mean()-target.MeanError() <= scaled(baseline.Mean(), l.confidentFactor)+l.margin/2:
 		return Inconclusive
 	}
 	return Bad
 }
 
+func scaled(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
 func failsMore(target, baseline members.VersionStats) bool {
 	baselineRate := 0.0
 	if baseline.Responses > 0 {
@@ -119,10 +146,6 @@
 	return target.Failures >= minFailures && targetRate > baselineRate*failureFactor+failureMargin
 }
 
-func slower(mean time.Duration, baseline members.VersionStats, factor float64, margin time.Duration) bool {
-	return baseline.Responses >= minResponses && mean > time.Duration(float64(baseline.Mean())*factor)+margin
-}
-
 // failuresSpread reports whether failures are not limited to few upstreams:
 // without the upstreams that failed most, the others still fail about as often.
 // It also reports true if the others have too few responses to tell, or if there
