poison: a part that only travels with crashing ones is tried soon

Cause: with few workers, all of which crash under one to three parts, nothing was answered for some seconds, and the part that all requests share gathered all crashes. No single crashing part had half as many, so nothing explained them; each trial that a request with a crashing part took put its own trials off, from 4 s to 15 s to 30 minutes.

Why this works: the other suspects together explain a crash (parts only, the content of a request still does not), and the delay of a trial follows the rounds of crashes that nothing explains: 1 s with none, then 4 s, 15 s, 30 minutes. A request that lacks the crashing parts is let through after 1 s and clears the common one.

--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -22,11 +22,15 @@
 // suspect is a trait with enough crashes for a hold.
 type suspect struct {
 	Trait
-	// times are the sorted times of its crashes.
-	times []time.Duration
-	// explained is set when other suspects, which the request lacks, were part of the
-	// crashes too.
-	explained bool
+	// times are the sorted times of its crashes, and unexplained those of the crashes that
+	// no other suspect, which the request lacks, was part of too.
+	times, unexplained []time.Duration
+}
+
+// isExplained reports whether all crashes, or if they are just enough for a hold, some of
+// them, may have been caused by other suspects.
+func (s suspect) isExplained() bool {
+	return len(s.unexplained) == 0 || len(s.unexplained) < crashesToHold && len(s.times) == crashesToHold
 }
 
 // Judge decides whether a request is held. A request that is held for parts of its prompt
@@ -62,36 +66,35 @@
 		if len(times) < crashesToHold {
 			continue
 		}
-		s := suspect{Trait: trait, times: times, explained: t.isExplained(trait, request)}
-		if !s.explained || len(times) > crashesToConfirm {
+		s := suspect{Trait: trait, times: times, unexplained: t.unexplained(trait, request)}
+		if !s.isExplained() || len(times) > crashesToConfirm {
 			holding = append(holding, s)
 		}
 	}
 	return holding
 }
 
-// isExplained reports whether all crashes of a trait, or if they are just enough for a
-// hold, some of them, may have been caused by suspects that a request lacks. Such a
-// suspect has at least half as many crashes. The content of one request does not explain
-// the crashes of a part that others share.
-func (t *Table) isExplained(trait Trait, request Request) bool {
-	crashes := t.byTrait[trait.Key]
+// unexplained returns the sorted times of the crashes of a trait of which no suspect that
+// the request lacks was part. The content of one request does not explain the crashes of a
+// part that others share.
+func (t *Table) unexplained(trait Trait, request Request) []time.Duration {
 	others := map[uint32][]time.Duration{}
 	for key, other := range t.byTrait {
-		if 2*len(other) < len(crashes) || len(other) < crashesToHold || request.has(key) || trait.Part != "" && !isPart(key) {
+		if len(other) < crashesToHold || request.has(key) || trait.Part != "" && !isPart(key) {
 			continue
 		}
 		for upstream, c := range other {
 			others[upstream] = append(others[upstream], c.at)
 		}
 	}
-	unexplained := 0
-	for upstream, c := range crashes {
+	var times []time.Duration
+	for upstream, c := range t.byTrait[trait.Key] {
 		if !slices.ContainsFunc(others[upstream], func(at time.Duration) bool { return (at - c.at).Abs() <= crashSpread }) {
-			unexplained++
+			times = append(times, c.at)
 		}
 	}
-	return unexplained == 0 || unexplained < crashesToHold && len(crashes) == crashesToHold
+	slices.Sort(times)
+	return times
 }
 
 // crashTimes returns the sorted times of the crashes of a trait that count.
@@ -123,34 +126,27 @@
 	trialSlotLength = 5 * time.Second
 )
 
-// The times from the last crash to the first trial after one, two, and three or more
-// rounds of crashes, of a suspect and of one whose crashes others explain. Each trial that
-// fails costs an upstream.
-var (
-	trialDelays          = []time.Duration{4 * time.Second, 15 * time.Second, 30 * time.Minute}
-	explainedTrialDelays = []time.Duration{time.Second, 8 * time.Second, 30 * time.Minute}
-)
+// trialDelays are the times from the last crash to the first trial after no, one, two, and
+// three or more rounds of crashes that nothing else explains. Each trial that fails costs
+// an upstream, and is such a round.
+var trialDelays = []time.Duration{time.Second, 4 * time.Second, 15 * time.Second, 30 * time.Minute}
 
 // trialSlot is a time in which one host may let one request through.
 type trialSlot struct {
-	// round is the number of rounds of crashes so far, and number that of the slot since
-	// the last one, from 0 on.
+	// round is the number of rounds of crashes so far that nothing else explains, and
+	// number that of the slot since the last crash, from 0 on.
 	round, number int
 }
 
 // slotAt returns the slot at a time, and false before the first.
 func (s suspect) slotAt(now time.Duration) (trialSlot, bool) {
-	rounds := 1
-	for i := 1; i < len(s.times); i++ {
-		if s.times[i]-s.times[i-1] >= roundGap {
+	rounds := 0
+	for i, at := range s.unexplained {
+		if i == 0 || at-s.unexplained[i-1] >= roundGap {
 			rounds++
 		}
 	}
-	delays := trialDelays
-	if s.explained {
-		delays = explainedTrialDelays
-	}
-	waited := now - s.times[len(s.times)-1] - delays[min(rounds, len(delays))-1]
+	waited := now - s.times[len(s.times)-1] - trialDelays[min(rounds, len(trialDelays)-1)]
 	if waited < 0 {
 		return trialSlot{}, false
 	}
--- a/internal/gateway/poison/part_test.go
+++ b/internal/gateway/poison/part_test.go
@@ -100,6 +100,31 @@
 	require.LessOrEqual(t, crashes, uint64(most))
 }
 
+// Scenario: few upstreams crash again and again under several parts, all of whose requests
+// have a part in common with all others. Nothing is answered for some seconds.
+func TestPartInCommonIsFreeSoonAfterCrashesUnderSeveralParts(t *testing.T) {
+	const deadlyParts = 3
+	table := poison.NewTable()
+	now := time.Second
+	for i := range uint64(18) {
+		crashUnder(table, fmt.Sprint("u", i), now, prompt(i, "system", fmt.Sprint("deadly-", i%deadlyParts)))
+		now += 2100 * time.Millisecond
+	}
+	hosts := []string{"host"}
+	require.True(t, isHeld(table, prompt(99, "system"), now), "nothing tells it from the others yet")
+	freeAt := now + 5*time.Second
+	for ; now < freeAt; now += 100 * time.Millisecond {
+		sound := prompt(uint64(now), "system", "own")
+		if table.Judge(sound, "host", hosts, now).HeldUntil == 0 {
+			table.RecordAnswering(sound, now)
+		}
+	}
+	require.False(t, isHeld(table, prompt(100, "system"), now))
+	for k := range deadlyParts {
+		require.True(t, isHeld(table, prompt(101, "system", fmt.Sprint("deadly-", k)), now))
+	}
+}
+
 // Scenario: a stream breaks off long after its engine began to answer.
 func TestPartsThatWereAnsweredAreNotBlamed(t *testing.T) {
 	table := poison.NewTable()
