forward: an earlier response is no part of one without a length

Cause: an upstream wrote an earlier response once more, late, on a connection that was in use again, for a response with neither a length nor chunks. All bytes belong to such a body.

Why this works: on a connection that has carried another request, the beginning of a response in a body without a length breaks it off: a stream is resumed elsewhere or ends with its connection, another request gets 502. Bodies with a length or chunks, and those on a new connection, may hold such bytes. An upstream that sends text with status lines without a length, on a kept connection, is not served any more; that is the price.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -342,7 +342,11 @@
 	}
 	a.inFlight.Received(boottime.Now())
 	body, err := a.buffers.readAll(resp.Body, maxResponseBytes)
-	if err == nil && !a.endsWhole(resp) {
+	switch {
+	case err != nil:
+	case a.holdsStray(resp, body):
+		err = errStrayInBody
+	case !a.endsWhole(resp):
 		err = errCrashedAtEnd
 	}
 	if err != nil {
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"time"
 
@@ -65,6 +66,9 @@
 	if errors.Is(err, io.EOF) && !delimited(r.resp) && (len(event) > 0 || r.firstEventAt == 0) {
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil && r.holdsStray(r.resp, event) {
+		return errStrayInBody
+	}
 	if err == nil || errors.Is(err, io.EOF) && len(event) > 0 {
 		if r.latency == 0 {
 			r.extraLatency = r.attempt.extraLatency()
@@ -86,6 +90,18 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+var errStrayInBody = errors.New("another response stands in a response without a length")
+
+// statusLine is the beginning of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9] `)
+
+// holdsStray reports whether a part of a body without a length holds another response: on
+// a connection that is in use again, an upstream may write an earlier one once more, and
+// nothing but its look tells it from the body.
+func (a *attempt) holdsStray(resp *http.Response, part []byte) bool {
+	return !delimited(resp) && a.conn.Reused() && statusLine.Match(part)
+}
+
 var errCrashedAtEnd = errors.New("upstream refuses connections behind a response without a length")
 
 // endsWhole reports whether a response that was read to its end is whole. The connection
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -266,6 +266,9 @@
 	return err == nil && open
 }
 
+// Reused reports whether the connection has carried an earlier request.
+func (c *Conn) Reused() bool { return c.idleSince > 0 }
+
 // Write sends a request. The header must not contain Host, Content-Length or
 // connection headers. It returns the number of bytes handed to the kernel.
 func (c *Conn) Write(method, target, host string, header http.Header, body []byte) (int, error) {
