gateway: requests accepted by a stopping host end before its process

Cause: a stopping host accepts requests until a second before its end, but left them the deadline of their callers.

Requests from before the signal keep theirs.

--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -90,8 +90,9 @@
 // StopDeadlines are the times up to which a stopping host accepts requests.
 type StopDeadlines struct {
 	// StreamsUntil is the boot time up to which streams are accepted, and
-	// OthersUntil that for other requests.
-	StreamsUntil, OthersUntil time.Duration
+	// OthersUntil that for other requests. EndsAt is the time by which requests that
+	// were accepted meanwhile end.
+	StreamsUntil, OthersUntil, EndsAt time.Duration
 }
 
 // New returns a Handler with the given dependencies.
@@ -236,6 +237,8 @@
 		until = stop.StreamsUntil
 	}
 	if now < until {
+		// The caller gets an answer, whatever the upstream does, before the process ends.
+		p.deadline = min(p.deadline, stop.EndsAt)
 		return true
 	}
 	p.refuse(http.StatusServiceUnavailable, "host stops", jitter(retryOtherHost))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,8 +67,8 @@
 	g.events.Emit(eventStopping, zap.Int64("active", g.forward.Active()), zap.Duration("grace", grace))
 	g.stopping.Store(true)
 	g.duties.Stop()
-	g.forward.Stop(forward.StopDeadlines{StreamsUntil: now + acceptStreamsFor, OthersUntil: now + grace - 2*graceMargin})
 	end := now + grace - graceMargin
+	g.forward.Stop(forward.StopDeadlines{StreamsUntil: now + acceptStreamsFor, OthersUntil: end - graceMargin, EndsAt: end})
 	for boottime.Now() < end {
 		time.Sleep(drainCheckInterval)
 		elapsed := boottime.Now() - now
