forward, poison: wording, and parts without an ID are no parts

From reading the diff as a newcomer. A part with an empty ID in a caller's header would have been taken for a request's content, which gets no trials.

--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -243,7 +243,7 @@
 		delete(m.reported, in.Fingerprint)
 		suspects.Answered = []uint64{in.Fingerprint}
 	}
-	// The coordinator hears of losses at other hosts, too.
+	// The coordinator also gets the reports of other hosts.
 	if _, reported := m.reported[in.Beginning]; reported || in.Beginning != 0 && m.beginningInCrash(in.Beginning) {
 		delete(m.reported, in.Beginning)
 		suspects.Answered = append(suspects.Answered, in.Beginning)
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -30,7 +30,9 @@
 	traits := poison.Request{Content: poison.Content(p.call.Method, p.call.Target, customerName(p.customer), p.call.Body)}
 	if p.call.Prompt != nil {
 		for _, part := range p.call.Prompt.SharedParts() {
-			traits.Parts = append(traits.Parts, poison.Part(p.service, part.ID))
+			if part.ID != "" {
+				traits.Parts = append(traits.Parts, poison.Part(p.service, part.ID))
+			}
 		}
 	}
 	return traits
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -95,9 +95,9 @@
 // statusLine is the beginning of a response.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9] `)
 
-// holdsStray reports whether a part of a body without a length holds another response: on
-// a connection that is in use again, an upstream may write an earlier one once more, and
-// nothing but its look tells it from the body.
+// holdsStray reports whether a part of a body without a length holds another response. On
+// a connection that is in use again, an upstream may write an earlier response once more;
+// only its status line distinguishes it from the body.
 func (a *attempt) holdsStray(resp *http.Response, part []byte) bool {
 	return !delimited(resp) && a.conn.Reused() && statusLine.Match(part)
 }
--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -164,7 +164,7 @@
 		}
 		slots[s.Key] = slot
 	}
-	// The parts of one request are tried by one host, chosen by the first of them.
+	// The first part determines the host that tries all parts of the request.
 	first := suspects[0].Key
 	if rendezvous.First(fmt.Sprintf("trial/%d/%d/%d", first, slots[first].round, slots[first].number), hosts) != self {
 		return false
