wire: a message shorter than the arrays that it states is rejected

A gateway ended by itself ("out of memory", 558 GB asked for) when a datagram of 200 bytes on its peer port stated an array of a billion hosts.

Cause: the msgpack package makes room for as many values as an array states. Messages of readers were walked through before they were decoded, digests, summaries and packed counts of the ledger (a record that other writers may change) were not.

Why this works: the walk through a message, which has no recursion and stops where the bytes end, has its own package and comes before each decoding. A datagram of 32 KB can still state 32,000 empty hosts, some 20 MB for a moment.

--- a/internal/gateway/duty/packed.go
+++ b/internal/gateway/duty/packed.go
@@ -6,6 +6,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/marigoldmux/marigoldmux/internal/gateway/wire"
 )
 
 // maxPlainProcesses is the largest number of counts by process and window that a
@@ -75,6 +77,9 @@
 
 // unpackCounts reverses packCounts. Its errors wrap ErrLedger.
 func unpackCounts(data []byte) (map[int64]map[uint64]Counts, error) {
+	if err := wire.Check(data); err != nil {
+		return nil, eris.Wrap(ErrLedger, err.Error())
+	}
 	var packed packedCounts
 	if err := msgpack.Unmarshal(data, &packed); err != nil {
 		return nil, eris.Wrap(ErrLedger, err.Error())
--- a/internal/gateway/members/codec.go
+++ b/internal/gateway/members/codec.go
@@ -5,6 +5,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/marigoldmux/marigoldmux/internal/gateway/wire"
 )
 
 // MaxDigestBytes bounds the size of a digest on the wire.
@@ -38,6 +40,9 @@
 	if len(data) > MaxDigestBytes {
 		return d, eris.Wrapf(ErrDigest, "%d bytes", len(data))
 	}
+	if err := wire.Check(data); err != nil {
+		return d, eris.Wrap(ErrDigest, err.Error())
+	}
 	reader := bytes.NewReader(data)
 	decoder := msgpack.NewDecoder(reader)
 	if err := decoder.Decode(&d); err != nil {
--- a/internal/gateway/members/summary.go
+++ b/internal/gateway/members/summary.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/wire"
 )
 
 // Summary is what a hub tells about many hosts: those of its availability zone, to
@@ -153,6 +154,9 @@
 	if len(data) > MaxDigestBytes {
 		return nil, eris.Wrapf(ErrDigest, "%d bytes", len(data))
 	}
+	if err := wire.Check(data); err != nil {
+		return nil, eris.Wrap(ErrDigest, err.Error())
+	}
 	var s Summary
 	if err := msgpack.Unmarshal(data, &s); err != nil {
 		return nil, eris.Wrap(ErrDigest, err.Error())
--- a/internal/gateway/relay/codec_test.go
+++ b/internal/gateway/relay/codec_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/wire"
 )
 
 // nested returns a message with an unknown field of nested arrays.
@@ -18,10 +19,10 @@
 
 func TestDeeplyNestedMessageIsRejected(t *testing.T) {
 	var a Response
-	require.ErrorIs(t, codec{}.Unmarshal(nested(maxMessageBytes-3), &a), ErrNestingTooDeep)
-	require.ErrorIs(t, codec{}.Unmarshal(nested(maxNesting), &a), ErrNestingTooDeep)
-	shallow := append(nested(maxNesting-2), 0x01)
-	require.NotErrorIs(t, codec{}.Unmarshal(shallow, &a), ErrNestingTooDeep)
+	require.ErrorIs(t, codec{}.Unmarshal(nested(maxMessageBytes-3), &a), wire.ErrNestingTooDeep)
+	require.ErrorIs(t, codec{}.Unmarshal(nested(wire.MaxNesting), &a), wire.ErrNestingTooDeep)
+	shallow := append(nested(wire.MaxNesting-2), 0x01)
+	require.NotErrorIs(t, codec{}.Unmarshal(shallow, &a), wire.ErrNestingTooDeep)
 }
 
 func TestReaderSurvivesDeeplyNestedMessage(t *testing.T) {
