review: one worker that sends without end ends the hosts' processes

The relay of a stream collects events while its read buffer holds bytes behind the last one, without a bound.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first"
   exit 2
 fi
-exec target/review-standin reclaim target/marigoldmux review/1/record.txt
+exec target/review-standin endless target/marigoldmux review/1/record.txt
--- a/review/_standin/caller.go
+++ b/review/_standin/caller.go
@@ -26,6 +26,8 @@
 	sentAt, at    time.Duration
 	status        int
 	body          string
+	// size is the length of the whole body.
+	size int64
 	// close is set when the answer says that the connection ends.
 	close bool
 	// err is the error of a request that got no complete answer; unread is set if it
@@ -34,6 +36,9 @@
 	unread bool
 }
 
+// maxKept bounds what is kept of a body.
+const maxKept = 64 << 10
+
 // newTransport returns the connections of one caller.
 func newTransport() *http.Transport {
 	return &http.Transport{
@@ -55,9 +60,9 @@
 	defer func() {
 		a.at = b.now()
 		if a.err != nil {
-			b.note("caller, request %s: %s", a.attempt, a.err)
+			b.note("caller, request %s: status %d, %d bytes, then %s", a.attempt, a.status, a.size, a.err)
 		} else {
-			b.note("caller, request %s: status %d, %d bytes, complete", a.attempt, a.status, len(a.body))
+			b.note("caller, request %s: status %d, %d bytes, complete", a.attempt, a.status, a.size)
 		}
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -80,8 +85,13 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	a.status, a.body, a.close, a.err = resp.StatusCode, string(data), resp.Close, err
+	// The rest of a longer body is read and not kept.
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxKept))
+	rest := int64(0)
+	if err == nil {
+		rest, err = io.Copy(io.Discard, resp.Body)
+	}
+	a.status, a.body, a.size, a.close, a.err = resp.StatusCode, string(data), int64(len(data))+rest, resp.Close, err
 	return a
 }
 
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -31,6 +31,10 @@
 	Slots, Queue, RetryAfterS int
 	// FailPercent is the share of plain requests that fail.
 	FailPercent int
+	// EndlessOn is the text in a body on which the worker answers with text without end, of
+	// MBPerS megabytes a second, with an empty line after each LinesPerGap lines.
+	EndlessOn           string
+	MBPerS, LinesPerGap int
 	// CrashOn is the text in a body or a prefix of a prompt that crashes the worker, CrashAfterMs how long
 	// after it began to run the request.
 	CrashOn      string
@@ -226,6 +230,9 @@
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 		select {}
 	}
+	if s.EndlessOn != "" && strings.Contains(body, s.EndlessOn) {
+		return s.endless(conn, attempt)
+	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: 3e1b.%s\r\n", attempt, attempt)
 	if s.Events > 0 {
 		return s.stream(conn, attempt, head)
@@ -272,3 +279,19 @@
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
 }
+
+// endless answers with text until the caller closes.
+func (s *server) endless(conn net.Conn, attempt string) bool {
+	line := strings.Repeat("stack trace ", 8) + "\n"
+	text := []byte(strings.Repeat(line, s.LinesPerGap) + "\n")
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: 3e1b.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", attempt, attempt)
+	sent, start := 0, time.Now()
+	for err == nil {
+		var n int
+		n, err = conn.Write(text)
+		sent += n
+		time.Sleep(time.Duration(float64(sent)/float64(s.MBPerS<<20)*float64(time.Second)) - time.Since(start))
+	}
+	s.say("%s: the caller left after %d MB", attempt, sent>>20)
+	return false
+}
