--- a/review/_standin/case_exposure.go
+++ b/review/_standin/case_exposure.go
@@ -20,7 +20,7 @@
 	burstX     = 1.7
 	burstAt    = time.Second
 	burstFor   = 3 * time.Second
-	retryAfter = 10
+	retryAfter = 6
 	// drainAfter is the time from the roll-back until the new workers drain.
 	drainAfter = 6 * time.Second
 )
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -283,12 +283,16 @@
 // endless answers with text until the caller closes.
 func (s *server) endless(conn net.Conn, attempt string) bool {
 	line := strings.Repeat("stack trace ", 8) + "\n"
-	text := []byte(strings.Repeat(line, s.LinesPerGap) + "\n")
+	gap := strings.Repeat(line, s.LinesPerGap) + "\n"
+	// It is written in blocks, as by a buffered writer.
+	const block = 64 << 10
+	text := []byte(strings.Repeat(gap, 2+block/len(gap)))
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: 3e1b.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", attempt, attempt)
 	sent, start := 0, time.Now()
 	for err == nil {
 		var n int
-		n, err = conn.Write(text)
+		from := sent % len(gap)
+		n, err = conn.Write(text[from : from+block])
 		sent += n
 		time.Sleep(time.Duration(float64(sent)/float64(s.MBPerS<<20)*float64(time.Second)) - time.Since(start))
 	}
