forward: complete events of a stream do not gather without a bound

Cause: relayStream sent complete events only when its read buffer was empty behind the last. Behind a worker that writes without pause this is hardly ever so, and nothing bounded what was pending. A complete event also waited for the rest of the next one.

Now events are sent when no further one can be read without waiting, and from 16 KB on in any case. The buffer of a stream has a bound (144 KB) and counts in the memory of all bodies, so that the sum has one too.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -18,18 +18,29 @@
 // are read in parts.
 const eventBufferBytes = 2048
 
+// firstEventBytes is the size of the first buffer for complete events.
+const firstEventBytes = 512
+
 // maxEventBytes bounds an event, so that streams without line ends cannot take all
 // memory.
 const maxEventBytes = 128 << 10
 
 var errEventTooLong = errors.New("event is too long")
 
+// flushBytes is the size from which complete events are sent to the caller even if
+// more of them can be read without waiting.
+const flushBytes = 16 << 10
+
+// maxPendingBytes bounds the events of one stream that are held.
+const maxPendingBytes = flushBytes + maxEventBytes
+
 // streamRelay copies the event stream of an upstream to the caller.
 type streamRelay struct {
 	*attempt
 	resp   *http.Response
 	reader *bufio.Reader
-	// pending holds complete events that were not sent to the caller yet.
+	// pending holds complete events that were not sent to the caller yet, and while one is
+	// read also the beginning of the next.
 	pending      []byte
 	extraLatency time.Duration
 	latency      time.Duration
@@ -41,7 +52,7 @@
 	r := &streamRelay{attempt: a, resp: resp, reader: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
 	for {
 		readErr := r.readNext()
-		if readErr == nil && r.reader.Buffered() > 0 {
+		if readErr == nil && len(r.pending) < flushBytes && holdsEvent(r.reader) {
 			continue
 		}
 		if err := r.flush(); err != nil {
@@ -62,7 +73,11 @@
 // delimited and ended regularly. A body that is not has broken off if it ends inside an
 // event or before the first.
 func (r *streamRelay) readNext() error {
-	event, err := readEvent(r.reader)
+	start := len(r.pending)
+	err := r.readEvent()
+	event := r.pending[start:]
+	// Until it is complete, the event is not to be sent.
+	r.pending = r.pending[:start]
 	if errors.Is(err, io.EOF) && !delimited(r.resp) && (len(event) > 0 || r.firstEventAt == 0) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -78,8 +93,8 @@
 			}
 		}
 		r.recordEvent()
-		r.pending = append(r.pending, event...)
 		r.recordEventID(event)
+		r.pending = r.pending[:start+len(event)]
 	}
 	return err
 }
@@ -111,28 +126,62 @@
 	return delimited(resp) || a.departing(a.member) || !upconn.Refuses(a.member.Address)
 }
 
-// readEvent reads one event, up to and including the empty line that ends it.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var event []byte
-	lineStart := 0
+// readEvent appends one event to pending, up to and including the empty line that ends it.
+func (r *streamRelay) readEvent() error {
+	start := len(r.pending)
+	lineStart := start
 	for {
-		part, err := reader.ReadSlice('\n')
-		event = append(event, part...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(event) > maxEventBytes {
-				return event, errEventTooLong
-			}
-			continue
+		part, err := r.reader.ReadSlice('\n')
+		if len(r.pending)-start+len(part) > maxEventBytes {
+			return errEventTooLong
 		}
-		if err != nil {
-			return event, err
+		if err := r.reserve(len(part)); err != nil {
+			return err
 		}
-		line := bytes.TrimRight(event[lineStart:], "\r\n")
-		if len(line) == 0 {
-			return event, nil
+		r.pending = append(r.pending, part...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return err
+		case isEmptyLine(r.pending[lineStart:]):
+			return nil
+		}
+		lineStart = len(r.pending)
+	}
+}
+
+// reserve makes room for n more bytes in pending. Its memory counts as taken by the
+// bodies of the request.
+func (r *streamRelay) reserve(n int) error {
+	size := cap(r.pending)
+	if len(r.pending)+n <= size {
+		return nil
+	}
+	grown := max(min(2*size, maxPendingBytes), len(r.pending)+n, firstEventBytes)
+	if err := r.buffers.take(grown - size); err != nil {
+		return err
+	}
+	r.pending = append(make([]byte, 0, grown), r.pending...)
+	return nil
+}
+
+// isEmptyLine reports whether a line has nothing before its end.
+func isEmptyLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+
+// holdsEvent reports whether the rest of an event can be read without waiting for the
+// upstream.
+func holdsEvent(reader *bufio.Reader) bool {
+	buffered, err := reader.Peek(reader.Buffered())
+	if err != nil {
+		return false
+	}
+	for line := range bytes.Lines(buffered) {
+		if isEmptyLine(line) && bytes.HasSuffix(line, []byte("\n")) {
+			return true
 		}
-		lineStart = len(event)
 	}
+	return false
 }
 
 // recordEvent records the time of an event, and counts the request in the usage
