gateway: requests behind a drain are refused, not cut

Cause: the drain ends when nobody has used the host for 1.2 s, and the servers then close within 0.35 s, but the host still accepted requests meanwhile. In the record all lost bookings were cut 0.31 to 0.35 s after they were sent, and came 1.2 s behind the one before.

Now the host refuses all further requests (not run) when the drain ends, waits for those accepted before, and only then closes its servers. A request counts as active before it reads the limits, so none slips through between the two.

--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -99,7 +99,8 @@
 func New(deps Deps) *Handler { return &Handler{Deps: deps, bodies: newBufferMemory()} }
 
 // Stop starts the shutdown: connections of callers are closed after their
-// response, and requests are refused from the given deadlines on.
+// response, and requests are refused from the given deadlines on. A later call replaces
+// the deadlines; a request that was accepted by the earlier ones is active when it returns.
 func (h *Handler) Stop(s StopDeadlines) { h.stopping.Store(&s) }
 
 // Active returns the number of requests in progress.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -41,12 +41,14 @@
 	// period.
 	graceMargin = 500 * time.Millisecond
 	// acceptRest is how long connections that wait are accepted before the listeners
-	// close, and closeTimeout bounds the requests that arrived on them.
+	// close, and closeTimeout bounds the refusals of the requests that arrived on them.
 	acceptRest   = 50 * time.Millisecond
 	closeTimeout = 300 * time.Millisecond
-	// drainCheckInterval is the interval at which a stopping host checks for
-	// requests in progress.
-	drainCheckInterval = 50 * time.Millisecond
+	// drainCheckInterval is the interval at which a stopping host checks whether
+	// callers use it, and activeCheckInterval that for requests in progress when it
+	// refuses further ones.
+	drainCheckInterval  = 50 * time.Millisecond
+	activeCheckInterval = 10 * time.Millisecond
 )
 
 // evictInterval is the interval at which state of unlisted upstreams is
@@ -59,8 +61,8 @@
 	}
 }
 
-// drain stops accepting streams, later all requests, and returns when no
-// request is in progress or the grace period is nearly over.
+// drain stops accepting streams, later all requests, and returns when no request is in
+// progress or the grace period is nearly over.
 func (g *Gateway) drain() {
 	now := boottime.Now()
 	grace := g.options.GracePeriod.D()
@@ -68,15 +70,23 @@
 	g.stopping.Store(true)
 	g.duties.Stop()
 	end := now + grace - graceMargin
-	g.forward.Stop(forward.StopDeadlines{StreamsUntil: now + acceptStreamsFor, OthersUntil: end - graceMargin, EndsAt: end})
-	for boottime.Now() < end {
+	limits := forward.StopDeadlines{StreamsUntil: now + acceptStreamsFor, OthersUntil: end - graceMargin, EndsAt: end}
+	g.forward.Stop(limits)
+	for boottime.Now() < end && !g.unused(now) {
 		time.Sleep(drainCheckInterval)
-		elapsed := boottime.Now() - now
-		idle := boottime.Now()-g.forward.LastRequestAt() > minIdle
-		if elapsed > minDrain && idle && g.forward.Active() == 0 {
-			return
-		}
 	}
+	// Until the process ends there is no time for further requests.
+	limits.StreamsUntil, limits.OthersUntil = 0, 0
+	g.forward.Stop(limits)
+	for boottime.Now() < end && g.forward.Active() > 0 {
+		time.Sleep(activeCheckInterval)
+	}
+}
+
+// unused reports whether callers have ceased to use a host that stops since stopAt.
+func (g *Gateway) unused(stopAt time.Duration) bool {
+	now := boottime.Now()
+	return now-stopAt > minDrain && now-g.forward.LastRequestAt() > minIdle && g.forward.Active() == 0
 }
 
 // listeningServer is a server with its listener.
