forward: a stream is not resumed behind events without an ID

Callers got two runs of a stream as one complete answer: a worker sent events without an ID and broke off, and on a resumable route the host went on at another worker, which had no ID to resume at and began anew (or at an older ID, if only the last events had none).

Cause: only the route decided whether another worker may run the request. Found with what the worker of review/1 sends, whose text has no IDs.

Now an event without an ID, unless it is just a comment, keeps the request at its worker.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -306,7 +306,7 @@
 // mayRunElsewhere reports whether the request may be sent to another upstream
 // although it may run at this one.
 func (a *attempt) mayRunElsewhere() bool {
-	return a.route.Repeatable() && a.runs+1 < a.route.MaxAttempts && a.attempts < maxUpstreams
+	return a.repeatable() && a.runs+1 < a.route.MaxAttempts && a.attempts < maxUpstreams
 }
 
 // errorOutcome returns the outcome of an attempt that ended without a complete
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -143,8 +143,11 @@
 	// headerSent is set when the header of a streamed response was sent to the
 	// caller.
 	headerSent bool
-	// lastEventID is the ID of the last event sent to the caller.
-	lastEventID string
+	// lastEventID is the ID of the last event sent to the caller that has one, and
+	// behindLastID is set when events without an ID were sent since, so that no other
+	// upstream can resume the stream.
+	lastEventID  string
+	behindLastID bool
 	// firstEvent is the time from the arrival of the request to the first event
 	// of its stream, and longestPause the longest time between two events.
 	// lastEventAt is the boot time of the latest event.
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -84,9 +84,12 @@
 	if result.disposition == notSent || result.disposition == notRun {
 		return true
 	}
-	return p.route.Repeatable() && p.runs < p.route.MaxAttempts
+	return p.repeatable() && p.runs < p.route.MaxAttempts
 }
 
+// repeatable reports whether another upstream may run a request that may have run.
+func (p *proxyRequest) repeatable() bool { return p.route.Repeatable() && !p.behindLastID }
+
 // chooseUpstream returns the upstream for the next attempt, or nil and the
 // reason why there is none.
 func (p *proxyRequest) chooseUpstream() (*catalog.Member, string) {
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -201,13 +201,21 @@
 }
 
 // recordEventID stores the ID of an event, at which another upstream may resume
-// the stream.
+// the stream, and whether there is one.
 func (a *attempt) recordEventID(event []byte) {
+	identified, comment := false, true
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		value, found := bytes.CutPrefix(line, []byte("id:"))
 		if found {
-			a.lastEventID = string(bytes.TrimSpace(value))
+			a.lastEventID, identified = string(bytes.TrimSpace(value)), true
 		}
+		comment = comment && (isEmptyLine(line) || line[0] == ':')
+	}
+	switch {
+	case identified:
+		a.behindLastID = false
+	case !comment:
+		a.behindLastID = true
 	}
 }
 
