dispatch: an engine's tokens beyond the request's bound are not kept

The older front's twin of the streams that take a host's memory: forwardTokens kept every token that came in order, whatever the request allowed, until its deadline.

Now a token beyond the bound ends the attempt, as a chunk that belongs to another request does. Routes of engines always have a bound.

TestEngineThatGeneratesWithoutEndIsCut failed before: all of 100,000 tokens were kept for a request of 30.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -18,6 +18,9 @@
 	document.ClassBatch:       0,
 }
 
+// errTooManyTokens ends a stream that is longer than its request allows.
+var errTooManyTokens = errors.New("engine generates more tokens than were requested")
+
 func (d *Dispatcher) runEngine(ctx context.Context, call *Call) request.Result {
 	failed := map[string]bool{}
 	var next *placement
@@ -92,6 +95,9 @@
 			a.recomputed = chunk.Recomputed
 			return nil
 		}
+		if chunk.Index >= call.Request.MaxTokens {
+			return &upstream.Failure{Kind: upstream.Mismatched, Err: errTooManyTokens}
+		}
 		if err := call.Output.Append(chunk.Index, chunk.Token); err != nil {
 			return &upstream.Failure{Kind: upstream.Mismatched, Err: err}
 		}
--- /dev/null
+++ b/internal/dispatch/engine_test.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/dial"
+	"github.com/marigoldmux/marigoldmux/internal/request"
+	"github.com/marigoldmux/marigoldmux/internal/route"
+	"github.com/marigoldmux/marigoldmux/internal/upstream"
+	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
+)
+
+// fakeEngine generates tokens whatever the request allows.
+type fakeEngine struct {
+	engine.Engine
+	id string
+	// tokens is the number of tokens, and next the index of the next one.
+	tokens, next int
+}
+
+func (e *fakeEngine) Generate(context.Context, engine.GenerateRequest) (engine.Stream, error) {
+	return e, nil
+}
+
+func (e *fakeEngine) Next() (engine.Chunk, error) {
+	if e.next == e.tokens {
+		return engine.Chunk{}, &upstream.Failure{Kind: upstream.Lost, Err: io.ErrUnexpectedEOF}
+	}
+	e.next++
+	return engine.Chunk{ID: e.id, Index: e.next - 1, Token: strings.Repeat("x", 100)}, nil
+}
+
+func (e *fakeEngine) Close() error { return nil }
+
+// fakeDialer has one engine at all addresses.
+type fakeDialer struct {
+	dial.Dialer
+	engine engine.Engine
+}
+
+func (d fakeDialer) Engine(string) engine.Engine { return d.engine }
+
+// TestEngineThatGeneratesWithoutEndIsCut checks that a request keeps no more tokens than
+// it asked for, whatever its engine sends, and is not complete then.
+func TestEngineThatGeneratesWithoutEndIsCut(t *testing.T) {
+	const maxTokens = 30
+	d := newTestDispatcher(t, "b")
+	defer d.Abort()
+	generating := &fakeEngine{id: "a.i.1", tokens: 100000}
+	d.opts.Dialer = fakeDialer{engine: generating}
+	require.True(t, d.Adopt(Transfer{Request: &request.Request{
+		ID: generating.id, Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p",
+		MaxTokens: maxTokens, Deadline: time.Now().Add(time.Hour),
+	}}))
+	call := d.Find(generating.id)
+	err := d.forwardTokens(t.Context(), &attempt{call: call, lease: &route.Lease{}, upstream: &control.Upstream{}, started: time.Now()})
+	require.Equal(t, maxTokens, call.Output.Len())
+	require.Equal(t, upstream.Mismatched, upstream.KindOf(err), "%v", err)
+	require.Less(t, generating.next, generating.tokens)
+}
