--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -21,6 +21,7 @@
 const (
 	maxErrorBytes    = 4 << 10
 	maxResponseBytes = 16 << 20
+	maxHeadBytes     = 64 << 10
 
 	maxIdlePerHost = 64
 	idleTimeout    = 30 * time.Second
@@ -93,6 +94,8 @@
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  !compress,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
