forward: a stream has a bound that follows from its request

Now a stream may have 1 MB and 4 KB for each output token that its request allows, 64 MB if it states none. Beyond that it is broken off, which counts against the worker as any other broken stream.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/exchange"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/upconn"
 )
 
@@ -25,7 +26,26 @@
 // memory.
 const maxEventBytes = 128 << 10
 
-var errEventTooLong = errors.New("event is too long")
+// Bounds of a whole stream: what the request allows if it states its output tokens, else
+// a fixed length.
+const (
+	maxStreamBytes      = 64 << 20
+	streamOverheadBytes = 1 << 20
+	maxBytesPerToken    = 4 << 10
+)
+
+var (
+	errEventTooLong  = errors.New("event is too long")
+	errStreamTooLong = errors.New("stream is longer than its request allows")
+)
+
+// streamLimit returns the longest stream that may answer a request.
+func streamLimit(call *exchange.Call) int {
+	if call.Prompt == nil || call.Prompt.MaxOutputTokens <= 0 {
+		return maxStreamBytes
+	}
+	return min(maxStreamBytes, streamOverheadBytes+min(call.Prompt.MaxOutputTokens, maxStreamBytes)*maxBytesPerToken)
+}
 
 // flushBytes is the size from which complete events are sent to the caller even if
 // more of them can be read without waiting.
@@ -41,7 +61,9 @@
 	reader *bufio.Reader
 	// pending holds complete events that were not sent to the caller yet, and while one is
 	// read also the beginning of the next.
-	pending      []byte
+	pending []byte
+	// left is the number of bytes that the stream may still have.
+	left         int
 	extraLatency time.Duration
 	latency      time.Duration
 }
@@ -49,7 +71,7 @@
 // relayStream sends the events of a stream to the caller, each when it is
 // complete. It reports whether the connection can be reused.
 func (a *attempt) relayStream(resp *http.Response) (bool, outcome) {
-	r := &streamRelay{attempt: a, resp: resp, reader: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
+	r := &streamRelay{attempt: a, resp: resp, reader: bufio.NewReaderSize(resp.Body, eventBufferBytes), left: streamLimit(a.call)}
 	for {
 		readErr := r.readNext()
 		if readErr == nil && len(r.pending) < flushBytes && holdsEvent(r.reader) {
@@ -135,6 +157,9 @@
 		if len(r.pending)-start+len(part) > maxEventBytes {
 			return errEventTooLong
 		}
+		if r.left -= len(part); r.left < 0 {
+			return errStreamTooLong
+		}
 		if err := r.reserve(len(part)); err != nil {
 			return err
 		}
