forward: a stopping host refuses what would outlast it

Callers saw: a booking that came late in the grace period was taken and passed on, and when the host had to end it got 504, though the worker was still at work on it: the caller can't know whether the booking was made. Another host would have run it.

Cause: plain requests were accepted until a second before the end, however long they may take.

Quick routes are served as long as before.

TestRequestThatWouldOutlastAStopIsRefused failed before: 504 after the worker had begun, in both forms.

--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -69,6 +69,17 @@
 	_ = h.RecordValue(min(max(took.Microseconds(), minLatencyMicros), maxLatencyMicros))
 }
 
+// LongestLatency returns the longest latency of a route's responses, 0 if there was none.
+func (s *Stats) LongestLatency(route string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.latencies[route]
+	if h == nil {
+		return 0
+	}
+	return time.Duration(h.Max()) * time.Microsecond
+}
+
 // LatencyQuantiles returns, by route, the latency quantiles in milliseconds
 // ("p50", "p95", "p99") and the number of responses ("count").
 func (s *Stats) LatencyQuantiles() map[string]map[string]float64 {
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -236,11 +236,11 @@
 	if stop == nil {
 		return true
 	}
-	until := stop.OthersUntil
+	accepted := now < stop.OthersUntil && p.expectedEnd(now) <= stop.EndsAt
 	if p.route.Kind == catalog.Stream {
-		until = stop.StreamsUntil
+		accepted = now < stop.StreamsUntil
 	}
-	if now < until {
+	if accepted {
 		// The caller gets an answer, whatever the upstream does, before the process ends.
 		p.deadline = min(p.deadline, stop.EndsAt)
 		return true
@@ -249,6 +249,20 @@
 	return false
 }
 
+// latencyMargin is the multiple of the longest latency of a route for which a stopping
+// host leaves time.
+const latencyMargin = 2
+
+// expectedEnd returns the time by which a request will have ended: its deadline, or less
+// if responses of its route have taken less.
+func (p *proxyRequest) expectedEnd(now time.Duration) time.Duration {
+	longest := p.h.Stats.LongestLatency(p.routeName())
+	if longest == 0 {
+		return p.deadline
+	}
+	return min(p.deadline, now+latencyMargin*longest)
+}
+
 // deny refuses a request whose route or key is unknown: with status if the
 // configuration is recent, else with 503, since a newer one may contain it.
 func (p *proxyRequest) deny(status int, reason string, age time.Duration) bool {
