forward: requests from before a stop are answered at its end

Callers saw: a plain request, or a stream without an event so far, that was at its worker when its host was stopped, with a time-out beyond the grace period, was cut without an answer when the host ended. Those that came during the stop got 504, as their deadline is shortened at their arrival.

Now the host ends what is in progress just before its servers close: the read that waits for the worker ends, no further attempt is made, and the caller is told that the outcome is unknown. Streams that have begun are broken off, as before.

TestRequestFromBeforeAStopIsAnswered failed before: EOF in place of 502 or 504.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -134,6 +134,9 @@
 	a.inFlight = p.h.InFlight.Begin(m.ID, m.Service, uncachedTokens(p.call), a.sentAt)
 	defer func() { a.inFlight.End(boottime.Now()) }()
 	stop := context.AfterFunc(p.r.Context(), func() { _ = conn.Close() })
+	// The read that waits for the upstream ends; see onReadTimeout.
+	stopEnding := context.AfterFunc(p.h.ending, func() { _ = conn.SetReadDeadline(time.Now()) })
+	defer stopEnding()
 	keep, keepAlive, result := a.roundTrip()
 	if stop() && keep {
 		p.h.Pool.Put(m.ID, conn, keepAlive)
@@ -262,7 +265,7 @@
 // request.
 func (a *attempt) onReadTimeout() error {
 	now := boottime.Now()
-	if now >= a.deadline {
+	if now >= a.deadline || a.h.ending.Err() != nil {
 		return os.ErrDeadlineExceeded
 	}
 	if a.mayRunElsewhere() && a.h.InFlight.Unresponsive(a.member.ID, now) && a.mayAbandon(now) {
@@ -300,6 +303,9 @@
 	if a.mayRunElsewhere() {
 		wait = min(wait, responseCheckInterval)
 	}
+	if a.h.ending.Err() != nil {
+		wait = 0
+	}
 	return a.conn.SetReadDeadline(time.Now().Add(wait))
 }
 
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -80,9 +81,12 @@
 type Handler struct {
 	Deps
 	// bodies is the memory that the bodies of all requests may take.
-	bodies        *semaphore.Weighted
-	lost          lostStreams
-	stopping      atomic.Pointer[StopDeadlines]
+	bodies   *semaphore.Weighted
+	lost     lostStreams
+	stopping atomic.Pointer[StopDeadlines]
+	// ending is done when the process is about to end.
+	ending        context.Context
+	end           context.CancelFunc
 	active        atomic.Int64
 	lastRequestAt atomic.Int64
 }
@@ -96,13 +100,21 @@
 }
 
 // New returns a Handler with the given dependencies.
-func New(deps Deps) *Handler { return &Handler{Deps: deps, bodies: newBufferMemory()} }
+func New(deps Deps) *Handler {
+	h := &Handler{Deps: deps, bodies: newBufferMemory()}
+	h.ending, h.end = context.WithCancel(context.Background())
+	return h
+}
 
 // Stop starts the shutdown: connections of callers are closed after their
 // response, and requests are refused from the given deadlines on. A later call replaces
 // the deadlines; a request that was accepted by the earlier ones is active when it returns.
 func (h *Handler) Stop(s StopDeadlines) { h.stopping.Store(&s) }
 
+// End ends the requests in progress: those without a response are answered, and streams
+// are broken off.
+func (h *Handler) End() { h.end() }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -26,7 +26,7 @@
 			p.abortDisconnected()
 			return
 		}
-		if boottime.Now() >= p.deadline {
+		if boottime.Now() >= p.deadline || p.h.ending.Err() != nil {
 			p.giveUpTimeout()
 			return
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -81,6 +81,7 @@
 	for boottime.Now() < end && g.forward.Active() > 0 {
 		time.Sleep(activeCheckInterval)
 	}
+	g.forward.End()
 }
 
 // unused reports whether callers have ceased to use a host that stops since stopAt.
