dispatch: a drain waits for requests accepted just before it

Now the check, the registration and the count are one step under the lock that Close takes, too.

TestDrainWaitsForRequestsAcceptedBeforeClose failed before: Drain returned at once, with an accepted request not yet started.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -203,7 +203,7 @@
 	d.counters.Accepted.Add(1)
 	d.copy(call)
 	d.budgets.recordAccepted(call.Request.Service, time.Now())
-	d.start(call)
+	d.launch(call)
 	return call, nil
 }
 
@@ -219,7 +219,7 @@
 
 func (d *Dispatcher) accept(sub Submission) (*Call, error) {
 	if d.closed.Load() {
-		return nil, refuse(request.ReasonLeaving, defaultRetryAfter, "this host is leaving")
+		return nil, refuseClosed()
 	}
 	snapshot := d.opts.Snapshot()
 	if snapshot.Document == nil {
@@ -274,6 +274,10 @@
 	return &RefusalError{Reason: reason, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
 }
 
+func refuseClosed() *RefusalError {
+	return refuse(request.ReasonLeaving, defaultRetryAfter, "this host is leaving")
+}
+
 func checkSubmission(service *document.Service, r *document.Route, sub *Submission) error {
 	if service.Kind == document.KindEngine {
 		if strings.TrimSpace(sub.Prompt) == "" {
@@ -293,8 +297,9 @@
 	return nil
 }
 
-// register counts the call against its customer's limit on this host and adds it
-// to the calls. Relayed calls are counted but not limited.
+// register counts the call against its customer's limit on this host and adds it to the
+// calls, unless the dispatcher is closed. The call must be launched: Drain waits for it
+// from then on. Relayed calls are counted but not limited.
 func (d *Dispatcher) register(call *Call, customer *document.Customer) error {
 	limit := customer.MaxInFlight
 	if limit == 0 || call.relayed {
@@ -302,12 +307,16 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed.Load() {
+		return refuseClosed()
+	}
 	if d.perCustomer[customer.Name] >= limit {
 		return refuse(request.ReasonCustomerLimit, defaultRetryAfter, "customer %q has %d requests here", customer.Name, limit)
 	}
 	call.prepare()
 	d.perCustomer[customer.Name]++
 	d.calls[call.Request.ID] = call
+	d.running.Add(1)
 	return nil
 }
 
@@ -317,9 +326,15 @@
 	c.stopped = make(chan struct{})
 }
 
+// start runs a call that another host accepted or that was suspended.
 func (d *Dispatcher) start(call *Call) {
-	ctx, stop := context.WithDeadline(call.ctx, call.Request.Deadline)
 	d.running.Add(1)
+	d.launch(call)
+}
+
+// launch runs a call that is already counted as running.
+func (d *Dispatcher) launch(call *Call) {
+	ctx, stop := context.WithDeadline(call.ctx, call.Request.Deadline)
 	go func() {
 		defer d.running.Done()
 		defer close(call.stopped)
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.start(call)
+	d.launch(call)
 	return call, nil
 }
 
--- a/internal/dispatch/suspend.go
+++ b/internal/dispatch/suspend.go
@@ -168,5 +168,10 @@
 	return older, false
 }
 
-// Close makes the dispatcher refuse new requests.
-func (d *Dispatcher) Close() { d.closed.Store(true) }
+// Close makes the dispatcher refuse new requests. Those that were accepted before are
+// among the calls when it returns.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed.Store(true)
+}
--- a/internal/dispatch/suspend_test.go
+++ b/internal/dispatch/suspend_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -50,3 +51,22 @@
 		require.Len(r, d.filter((*Call).open), 1)
 	})
 }
+
+// TestDrainWaitsForRequestsAcceptedBeforeClose checks that a request that was accepted just
+// before its host refuses further ones is not left behind when the host ends.
+func TestDrainWaitsForRequestsAcceptedBeforeClose(t *testing.T) {
+	d := newTestDispatcher(t, "b")
+	defer d.Abort()
+	call, err := d.accept(Submission{Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p"})
+	require.NoError(t, err)
+	defer d.launch(call)
+	d.Close()
+	require.Equal(t, []*Call{call}, d.Movable())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, d.Drain(ctx), context.DeadlineExceeded)
+	_, err = d.accept(Submission{Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p"})
+	var refused *RefusalError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, request.ReasonLeaving, refused.Reason)
+}
