upconn: a request that was given up is not sent later

Cause: the connection of an attempt that is given up was closed, and the kernel goes on to deliver what it holds of a closed connection.

Now such a connection is reset, also when the caller leaves.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -133,14 +133,17 @@
 	a.lastReceivedAt = a.sentAt
 	a.inFlight = p.h.InFlight.Begin(m.ID, m.Service, uncachedTokens(p.call), a.sentAt)
 	defer func() { a.inFlight.End(boottime.Now()) }()
-	stop := context.AfterFunc(p.r.Context(), func() { _ = conn.Close() })
+	stop := context.AfterFunc(p.r.Context(), conn.Abort)
 	// The read that waits for the upstream ends; see onReadTimeout.
 	stopEnding := context.AfterFunc(p.h.ending, func() { _ = conn.SetReadDeadline(time.Now()) })
 	defer stopEnding()
 	keep, keepAlive, result := a.roundTrip()
-	if stop() && keep {
+	switch {
+	case stop() && keep:
 		p.h.Pool.Put(m.ID, conn, keepAlive)
-	} else {
+	case result.disposition == unknown:
+		conn.Abort()
+	default:
 		_ = conn.Close()
 	}
 	if result.disposition != finished && p.r.Context().Err() != nil {
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -159,6 +159,17 @@
 	}
 }
 
+// Abort closes the connection with a reset, so that the kernel drops what it has not
+// delivered. A request that was given up would else reach the upstream later, as after a
+// partition.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Where it fails, the connection is closed as usual.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Check opens and closes a connection to an upstream. It returns an error if
 // the upstream does not accept it.
 func Check(address string) error {
