--- a/internal/dispatch/ended_test.go
+++ b/internal/dispatch/ended_test.go
@@ -12,7 +12,7 @@
 // TestEndIsReportedBeforeOutputFinishes checks that a report requested after the
 // response includes the request.
 func TestEndIsReportedBeforeOutputFinishes(t *testing.T) {
-	d := newTestDispatcher(t, "b")
+	d := newTestDispatcher(t)
 	defer d.Abort()
 	req := &request.Request{
 		ID: "a.i.1", Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p",
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -51,7 +51,7 @@
 // it asked for, whatever its engine sends, and is not complete then.
 func TestEngineThatGeneratesWithoutEndIsCut(t *testing.T) {
 	const maxTokens = 30
-	d := newTestDispatcher(t, "b")
+	d := newTestDispatcher(t)
 	defer d.Abort()
 	generating := &fakeEngine{id: "a.i.1", tokens: 100000}
 	d.opts.Dialer = fakeDialer{engine: generating}
--- a/internal/dispatch/suspend_test.go
+++ b/internal/dispatch/suspend_test.go
@@ -18,14 +18,14 @@
 )
 
 // newTestDispatcher returns a dispatcher without upstreams, so that its calls wait.
-func newTestDispatcher(t testing.TB, id string) *Dispatcher {
+func newTestDispatcher(t testing.TB) *Dispatcher {
 	text, err := deploy.Config("chomkaew")
 	require.NoError(t, err)
 	doc, err := document.Parse(text)
 	require.NoError(t, err)
 	snapshot := func() *control.Snapshot { return &control.Snapshot{Document: doc} }
 	return New(Options{
-		Self: control.Self{ID: id, Incarnation: "i"}, Snapshot: snapshot, Report: func(control.Input) {},
+		Self: control.Self{ID: "b", Incarnation: "i"}, Snapshot: snapshot, Report: func(control.Input) {},
 		Router: route.NewLeastLoaded(snapshot, 1), Events: event.Discard(),
 	})
 }
@@ -34,7 +34,7 @@
 // request in any number and order keeps one call, with the longest output.
 func TestAdoptKeepsLongestOutput(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		d := newTestDispatcher(t, "b")
+		d := newTestDispatcher(t)
 		defer d.Abort()
 		longest := 0
 		for range rapid.IntRange(1, 6).Draw(r, "copies") {
@@ -55,7 +55,7 @@
 // TestDrainWaitsForRequestsAcceptedBeforeClose checks that a request that was accepted just
 // before its host refuses further ones is not left behind when the host ends.
 func TestDrainWaitsForRequestsAcceptedBeforeClose(t *testing.T) {
-	d := newTestDispatcher(t, "b")
+	d := newTestDispatcher(t)
 	defer d.Abort()
 	call, err := d.accept(Submission{Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p"})
 	require.NoError(t, err)
