--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -108,7 +108,7 @@
 
 // Stop starts the shutdown: connections of callers are closed after their
 // response, and requests are refused from the given deadlines on. A later call replaces
-// the deadlines; a request that was accepted by the earlier ones is active when it returns.
+// the deadlines; when it returns, Active counts all requests that the earlier ones let in.
 func (h *Handler) Stop(s StopDeadlines) { h.stopping.Store(&s) }
 
 // End ends the requests in progress: those without a response are answered, and streams
