dispatch: a test of an endless engine works alone on its call

The fault is the test's; in the product one goroutine at a time works on a call. The test now accepts the request without launching it, as TestDrainWaitsForRequestsAcceptedBeforeClose does, and launches it behind its checks, so that the dispatcher can end it. The checks are the same; without the bound it fails (100,000 tokens kept of 30).

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
-	"github.com/marigoldmux/marigoldmux/internal/request"
 	"github.com/marigoldmux/marigoldmux/internal/route"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
@@ -53,14 +52,15 @@
 	const maxTokens = 30
 	d := newTestDispatcher(t)
 	defer d.Abort()
-	generating := &fakeEngine{id: "a.i.1", tokens: 100000}
+	// The call is launched only behind the test, so nothing else works on it before.
+	call, err := d.accept(Submission{
+		Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p", MaxTokens: maxTokens,
+	})
+	require.NoError(t, err)
+	defer d.launch(call)
+	generating := &fakeEngine{id: call.Request.ID, tokens: 100000}
 	d.opts.Dialer = fakeDialer{engine: generating}
-	require.True(t, d.Adopt(Transfer{Request: &request.Request{
-		ID: generating.id, Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p",
-		MaxTokens: maxTokens, Deadline: time.Now().Add(time.Hour),
-	}}))
-	call := d.Find(generating.id)
-	err := d.forwardTokens(t.Context(), &attempt{call: call, lease: &route.Lease{}, upstream: &control.Upstream{}, started: time.Now()})
+	err = d.forwardTokens(t.Context(), &attempt{call: call, lease: &route.Lease{}, upstream: &control.Upstream{}, started: time.Now()})
 	require.Equal(t, maxTokens, call.Output.Len())
 	require.Equal(t, upstream.Mismatched, upstream.KindOf(err), "%v", err)
 	require.Less(t, generating.next, generating.tokens)
