members: tests of simulated fleets run beside each other

Each has a fleet, a clock and a seed of its own, so they now run in parallel; sizes of the fleet and seeds are subtests. The checks are the same.

--- a/internal/gateway/members/tree_test.go
+++ b/internal/gateway/members/tree_test.go
@@ -194,7 +194,10 @@
 // with the fleet.
 func TestTreeIsFlatInTheFleet(t *testing.T) {
 	for _, n := range []int{30, 195} {
-		testFlatTree(t, n)
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			testFlatTree(t, n)
+		})
 	}
 }
 
@@ -241,6 +244,7 @@
 // is lost. The usage of a window of 5 s may be off by a twentieth, of which the holder's
 // own writes, each 250 ms, take half.
 func TestHolderHearsOfUsageSoon(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(195, 2)
 	holder := f.hosts[0]
 	f.await(t, 4*time.Second, func() bool { return f.allSee(len(f.hosts) - 1) })
@@ -270,6 +274,7 @@
 
 // TestLoadsOfTheFleetAreSummedUp checks that each host knows the load of all others.
 func TestLoadsOfTheFleetAreSummedUp(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(91, 2)
 	total := 0
 	for i, h := range f.hosts {
@@ -288,48 +293,56 @@
 // nothing twice, while datagrams are lost and hubs die, start again and are late.
 func TestUseOfTheFleetIsCountedOnce(t *testing.T) {
 	for seed := range uint64(3) {
-		f := newSimFleet(40, seed)
-		f.run(t, 4*time.Second, nil)
-		observer := f.hosts[f.rand.IntN(len(f.hosts))]
-		before := observer.table.PeerUse()["c"]
-		f.loss = f.rand.Float64() / 5
-		used, mayBeLost := 0.0, 0.0
-		use := func() {
-			for _, h := range f.hosts {
-				if h.down {
-					continue
-				}
-				h.used++
-				if h != observer {
-					used++
-				}
-			}
-		}
-		// The hubs and the hosts that follow them in rank.
-		for k, h := range f.hosts[:3*zonesOfFleet] {
-			if h == observer || k%2 == int(seed)%2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			testUseIsCountedOnce(t, seed)
+		})
+	}
+}
+
+func testUseIsCountedOnce(t *testing.T, seed uint64) {
+	f := newSimFleet(40, seed)
+	f.run(t, 4*time.Second, nil)
+	observer := f.hosts[f.rand.IntN(len(f.hosts))]
+	before := observer.table.PeerUse()["c"]
+	f.loss = f.rand.Float64() / 5
+	used, mayBeLost := 0.0, 0.0
+	use := func() {
+		for _, h := range f.hosts {
+			if h.down {
 				continue
 			}
-			// What the host used may be lost, and what its zone used until another
-			// hub has taken over.
-			mayBeLost += h.used/4 + 20*4*float64(len(f.hosts))/zonesOfFleet
-			h.down = true
-			f.run(t, time.Duration(f.rand.IntN(2000))*time.Millisecond, use)
-			f.start(h)
-			f.run(t, time.Duration(f.rand.IntN(2000))*time.Millisecond, use)
+			h.used++
+			if h != observer {
+				used++
+			}
+		}
+	}
+	// The hubs and the hosts that follow them in rank.
+	for k, h := range f.hosts[:3*zonesOfFleet] {
+		if h == observer || k%2 == int(seed)%2 {
+			continue
 		}
-		f.run(t, 2*time.Second, use)
-		f.loss = 0
-		f.run(t, 2*time.Second, nil)
-		got := observer.table.PeerUse()["c"] - before
-		t.Logf("seed %d: %.0f of %.0f counted, %.0f may be lost", seed, got, used, mayBeLost)
-		require.LessOrEqual(t, got, 1.01*used, "seed %d: counted twice", seed)
-		require.GreaterOrEqual(t, got, used-mayBeLost, "seed %d: not counted", seed)
+		// What the host used may be lost, and what its zone used until another
+		// hub has taken over.
+		mayBeLost += h.used/4 + 20*4*float64(len(f.hosts))/zonesOfFleet
+		h.down = true
+		f.run(t, time.Duration(f.rand.IntN(2000))*time.Millisecond, use)
+		f.start(h)
+		f.run(t, time.Duration(f.rand.IntN(2000))*time.Millisecond, use)
 	}
+	f.run(t, 2*time.Second, use)
+	f.loss = 0
+	f.run(t, 2*time.Second, nil)
+	got := observer.table.PeerUse()["c"] - before
+	t.Logf("seed %d: %.0f of %.0f counted, %.0f may be lost", seed, got, used, mayBeLost)
+	require.LessOrEqual(t, got, 1.01*used, "seed %d: counted twice", seed)
+	require.GreaterOrEqual(t, got, used-mayBeLost, "seed %d: not counted", seed)
 }
 
 // TestCutZonesAgreeAgain cuts two zones off from the others, and heals the cut.
 func TestCutZonesAgreeAgain(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(91, 4)
 	f.await(t, 4*time.Second, func() bool { return f.allSee(90) })
 	side := func(h *simHost) bool { return h.zone == "zone-1" || h.zone == "zone-2" }
@@ -356,6 +369,7 @@
 
 // TestHerdThatStartsAgainAgrees kills all hosts at once; each starts with no memory.
 func TestHerdThatStartsAgainAgrees(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(195, 5)
 	f.run(t, 4*time.Second, nil)
 	for _, h := range f.hosts {
@@ -368,6 +382,7 @@
 // TestStateOfHostsSpreads checks that a host that stops, and an upstream that leaves,
 // are known everywhere soon.
 func TestStateOfHostsSpreads(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(91, 6)
 	f.run(t, 4*time.Second, nil)
 	stopping := f.hosts[50]
