--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -159,8 +159,7 @@
 	slots := map[uint64]trialSlot{}
 	for _, s := range suspects {
 		slot, due := s.slotAt(now)
-		last, tried := t.trials[s.Key]
-		if s.Part == "" || !due || tried && last == slot {
+		if s.Part == "" || !due || t.trials[s.Key] == slot {
 			return false
 		}
 		slots[s.Key] = slot
