forward: endless responses of one upstream leave memory for others

Callers of sound upstreams were refused (503), or told 502 though their booking had run, while many others waited at an upstream whose bodies come slowly and do not end.

Cause: the 48 MB that the bodies at a host may take were given first come, first served, and bodies that come slowly hold theirs until their deadline. The reason stands in the answers: "bodies of other requests take all memory".

Now the responses of an upstream may take as much as is left free, so that one gets at most half of the shared part, and the last 8 MB are for upstreams with at most 64 KB. Bodies of requests leave these too, since a request can still be refused where a response has run. The check of all memory being given back (buffer_test.go) now compares with unused memory in place of a semaphore's: as strict.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -282,7 +282,7 @@
 		return a.relayStream(resp)
 	}
 	a.inFlight.Received(boottime.Now())
-	body, err := a.buffers.readAll(resp.Body, maxResponseBytes)
+	body, err := a.newBuffers(a.member.ID).readAll(resp.Body, maxResponseBytes)
 	switch {
 	case err != nil:
 	case a.holdsStray(resp, body):
--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -16,7 +16,7 @@
 	if doc := p.h.Snapshots.Snapshot().View.Document; doc != nil && doc.Limits.MaxBodyBytes > 0 {
 		limit = doc.Limits.MaxBodyBytes
 	}
-	body, err := p.buffers.readAll(http.MaxBytesReader(p.w, p.r.Body, int64(limit)), limit)
+	body, err := p.newBuffers("").readAll(http.MaxBytesReader(p.w, p.r.Body, int64(limit)), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoMemory):
--- a/internal/gateway/forward/buffer.go
+++ b/internal/gateway/forward/buffer.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"sync"
-
-	"golang.org/x/sync/semaphore"
 )
 
 // Bounds of what is read of one response, and of the memory that all bodies take.
@@ -22,6 +20,11 @@
 	// host holds: hosts have a few hundred MB, and the collector may keep as much
 	// again.
 	maxBufferedBytes = 48 << 20
+	// reservedBytes is the part of maxBufferedBytes that only upstreams with at most
+	// reservedShareBytes use: short responses find room beside a hundred upstreams whose
+	// responses do not end.
+	reservedBytes      = 8 << 20
+	reservedShareBytes = 64 << 10
 	// firstBufferBytes is the size of the first buffer of a body, whatever length
 	// its head states: the sender may never send it.
 	firstBufferBytes = 4 << 10
@@ -35,14 +38,62 @@
 	errNoMemory = errors.New("bodies of other requests take all memory")
 )
 
-// newBufferMemory returns the memory that the bodies at one host may take.
-func newBufferMemory() *semaphore.Weighted { return semaphore.NewWeighted(maxBufferedBytes) }
+// bufferMemory is the memory that the bodies at one host may take. The responses of one
+// upstream may take as much as is left free, so that none takes all, and the requests leave
+// a reserve for responses: a request can still be refused, but what responds has run.
+type bufferMemory struct {
+	mu   sync.Mutex
+	free int
+	// byUpstream holds the memory of the responses of each upstream, by ID.
+	byUpstream map[string]int
+}
+
+func newBufferMemory() *bufferMemory {
+	return &bufferMemory{free: maxBufferedBytes, byUpstream: map[string]int{}}
+}
+
+// take takes n bytes for a response of an upstream, or for the body of a request if
+// upstream is empty. It reports whether there was room for them.
+func (m *bufferMemory) take(upstream string, n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	free := m.free - n
+	if upstream == "" {
+		if free < reservedBytes {
+			return false
+		}
+		m.free = free
+		return true
+	}
+	used := m.byUpstream[upstream] + n
+	if used > reservedShareBytes && used > free-reservedBytes || free < 0 {
+		return false
+	}
+	m.free, m.byUpstream[upstream] = free, used
+	return true
+}
+
+// give gives back what was taken for upstream.
+func (m *bufferMemory) give(upstream string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.free += n
+	if upstream == "" {
+		return
+	}
+	m.byUpstream[upstream] -= n
+	if m.byUpstream[upstream] == 0 {
+		delete(m.byUpstream, upstream)
+	}
+}
 
-// bodyBuffers holds the bodies of one request. Their memory counts as taken until
-// release.
+// bodyBuffers holds the body of a request, or of its response by one upstream. Their
+// memory counts as taken until release.
 type bodyBuffers struct {
-	memory *semaphore.Weighted
-	taken  int64
+	memory *bufferMemory
+	// upstream is the ID of the upstream that sends the response, empty for a request.
+	upstream string
+	taken    int
 }
 
 // pieces holds pieces that are not in use: a body that does not end leaves no
@@ -113,19 +164,19 @@
 }
 
 func (b *bodyBuffers) take(n int) error {
-	if !b.memory.TryAcquire(int64(n)) {
+	if !b.memory.take(b.upstream, n) {
 		return errNoMemory
 	}
-	b.taken += int64(n)
+	b.taken += n
 	return nil
 }
 
 func (b *bodyBuffers) give(n int) {
-	b.memory.Release(int64(n))
-	b.taken -= int64(n)
+	b.memory.give(b.upstream, n)
+	b.taken -= n
 }
 
 // release gives the memory back. The bodies must not be used any more.
 func (b *bodyBuffers) release() {
-	b.give(int(b.taken))
+	b.give(b.taken)
 }
--- a/internal/gateway/forward/buffer_test.go
+++ b/internal/gateway/forward/buffer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"runtime"
 	"strings"
@@ -20,13 +21,13 @@
 	} {
 		body := bytes.Repeat([]byte("0123456789abc"), n/13+1)[:n]
 		for _, reader := range []io.Reader{bytes.NewReader(body), iotest.HalfReader(bytes.NewReader(body)), iotest.DataErrReader(bytes.NewReader(body))} {
-			b := bodyBuffers{memory: newBufferMemory()}
+			b := bodyBuffers{memory: newBufferMemory(), upstream: "w"}
 			got, err := b.readAll(reader, max(n, 1))
 			require.NoError(t, err)
 			require.Equal(t, string(body), string(got))
-			require.LessOrEqual(t, int64(n), b.taken)
+			require.LessOrEqual(t, n, b.taken)
 			b.release()
-			require.True(t, b.memory.TryAcquire(maxBufferedBytes), "all memory is given back")
+			require.Equal(t, newBufferMemory(), b.memory, "all memory is given back")
 		}
 		if n > 0 {
 			b := bodyBuffers{memory: newBufferMemory()}
@@ -67,3 +68,36 @@
 type endlessBody struct{}
 
 func (endlessBody) Read(b []byte) (int, error) { return len(b), nil }
+
+// Load pattern: upstreams whose responses do not end take all memory that they get, one
+// after the other, while short responses of another one come.
+func TestUpstreamsThatTakeMemoryLeaveRoomForOthers(t *testing.T) {
+	for _, endless := range []int{1, 2, 10, 100} {
+		memory := newBufferMemory()
+		for i := range endless {
+			b := bodyBuffers{memory: memory, upstream: fmt.Sprint("endless-", i)}
+			for n := pieceBytes; n > 0; {
+				if b.take(n) != nil {
+					n /= 2
+				}
+			}
+		}
+		sound := bodyBuffers{memory: memory, upstream: "sound"}
+		require.NoError(t, sound.take(reservedShareBytes), "%d endless", endless)
+		if endless == 1 {
+			require.NoError(t, sound.take(maxResponseBytes), "a long response")
+		}
+	}
+}
+
+// Load pattern: callers send as many bodies as are accepted, while responses are due.
+func TestBodiesOfRequestsLeaveRoomForResponses(t *testing.T) {
+	memory := newBufferMemory()
+	requests := bodyBuffers{memory: memory}
+	for requests.take(pieceBytes) == nil {
+	}
+	for i := range reservedBytes / reservedShareBytes {
+		response := bodyBuffers{memory: memory, upstream: fmt.Sprint("w-", i)}
+		require.NoError(t, response.take(reservedShareBytes))
+	}
+}
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
@@ -81,7 +79,7 @@
 type Handler struct {
 	Deps
 	// bodies is the memory that the bodies of all requests may take.
-	bodies   *semaphore.Weighted
+	bodies   *bufferMemory
 	lost     lostStreams
 	stopping atomic.Pointer[StopDeadlines]
 	// ending is done when the process is about to end.
@@ -132,7 +130,7 @@
 	customer *catalog.Customer
 	service  string
 	// buffers holds the bodies of the request and its responses.
-	buffers bodyBuffers
+	buffers []*bodyBuffers
 	// deadline is the boot time at which the caller's timeout, or defaultTimeout
 	// if it states none, or the route's timeout ends, whichever is first.
 	deadline time.Duration
@@ -184,8 +182,8 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	call, err := h.Codec.DecodeCall(r)
-	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}, buffers: bodyBuffers{memory: h.bodies}}
-	defer p.buffers.release()
+	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}}
+	defer p.releaseBuffers()
 	p.boundWrites(call.Arrived + defaultTimeout)
 	h.lastRequestAt.Store(int64(call.Arrived))
 	if stop := h.stopping.Load(); stop != nil {
@@ -200,6 +198,20 @@
 	}
 }
 
+// newBuffers returns the buffers of a response of an upstream, or of the request's body if
+// upstream is empty. They are released at the end of the request.
+func (p *proxyRequest) newBuffers(upstream string) *bodyBuffers {
+	b := &bodyBuffers{memory: p.h.bodies, upstream: upstream}
+	p.buffers = append(p.buffers, b)
+	return b
+}
+
+func (p *proxyRequest) releaseBuffers() {
+	for _, b := range p.buffers {
+		b.release()
+	}
+}
+
 // admit finds the route and the customer and sets the deadline. It reports
 // whether the request is admitted; otherwise it has been refused.
 func (p *proxyRequest) admit() bool {
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -57,8 +57,9 @@
 // streamRelay copies the event stream of an upstream to the caller.
 type streamRelay struct {
 	*attempt
-	resp   *http.Response
-	reader *bufio.Reader
+	resp    *http.Response
+	reader  *bufio.Reader
+	buffers *bodyBuffers
 	// pending holds complete events that were not sent to the caller yet, and while one is
 	// read also the beginning of the next.
 	pending []byte
@@ -71,7 +72,10 @@
 // relayStream sends the events of a stream to the caller, each when it is
 // complete. It reports whether the connection can be reused.
 func (a *attempt) relayStream(resp *http.Response) (bool, outcome) {
-	r := &streamRelay{attempt: a, resp: resp, reader: bufio.NewReaderSize(resp.Body, eventBufferBytes), left: streamLimit(a.call)}
+	r := &streamRelay{
+		attempt: a, resp: resp, reader: bufio.NewReaderSize(resp.Body, eventBufferBytes),
+		buffers: a.newBuffers(a.member.ID), left: streamLimit(a.call),
+	}
 	for {
 		readErr := r.readNext()
 		if readErr == nil && len(r.pending) < flushBytes && holdsEvent(r.reader) {
