--- a/internal/gateway/forward/buffer.go
+++ b/internal/bodybuf/bodybuf.go
@@ -1,4 +1,6 @@
-package forward
+// Package bodybuf reads the bodies of requests and responses into memory that has a bound over
+// all of them, and divides it so that one upstream does not take that of others.
+package bodybuf
 
 import (
 	"bytes"
@@ -7,20 +9,8 @@
 	"sync"
 )
 
-// Bounds of what is read of one response, and of the memory that all bodies take.
 const (
-	// maxResponseBytes bounds a buffered response body.
-	maxResponseBytes = 8 << 20
-	// maxStrayBytes bounds the body of a response to another attempt, which is
-	// read to find the one behind it, and maxRejectionBytes that of a rejection,
-	// which is read to reuse the connection.
-	maxStrayBytes     = 1 << 20
-	maxRejectionBytes = 16 << 10
-	// maxBufferedBytes bounds the bodies of all requests and responses that a
-	// host holds: hosts have a few hundred MB, and the collector may keep as much
-	// again.
-	maxBufferedBytes = 48 << 20
-	// reservedBytes is the part of maxBufferedBytes that only upstreams with at most
+	// reservedBytes is the part of the memory that only upstreams with at most
 	// reservedShareBytes use: short responses find room beside a hundred upstreams whose
 	// responses do not end.
 	reservedBytes      = 8 << 20
@@ -33,28 +23,32 @@
 	pieceBytes = 64 << 10
 )
 
+// Errors of bodies that are not read whole.
 var (
-	errTooLong  = errors.New("body is too long")
-	errNoMemory = errors.New("bodies of other requests take all memory")
+	ErrTooLong  = errors.New("body is too long")
+	ErrNoMemory = errors.New("bodies of other requests take all memory")
 )
 
-// bufferMemory is the memory that the bodies at one host may take. The responses of one
+// Memory is the memory that the bodies at one host may take. The responses of one
 // upstream may take as much as is left free, so that none takes all, and the requests leave
 // a reserve for responses: a request can still be refused, but what responds has run.
-type bufferMemory struct {
+type Memory struct {
 	mu   sync.Mutex
 	free int
 	// byUpstream holds the memory of the responses of each upstream, by ID.
 	byUpstream map[string]int
 }
 
-func newBufferMemory() *bufferMemory {
-	return &bufferMemory{free: maxBufferedBytes, byUpstream: map[string]int{}}
-}
+// NewMemory returns a Memory of the given number of bytes.
+func NewMemory(bytes int) *Memory { return &Memory{free: bytes, byUpstream: map[string]int{}} }
+
+// Buffers returns buffers for a response of an upstream, or for the body of a request if
+// upstream is empty.
+func (m *Memory) Buffers(upstream string) *Buffers { return &Buffers{memory: m, upstream: upstream} }
 
 // take takes n bytes for a response of an upstream, or for the body of a request if
 // upstream is empty. It reports whether there was room for them.
-func (m *bufferMemory) take(upstream string, n int) bool {
+func (m *Memory) take(upstream string, n int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	free := m.free - n
@@ -74,7 +68,7 @@
 }
 
 // give gives back what was taken for upstream.
-func (m *bufferMemory) give(upstream string, n int) {
+func (m *Memory) give(upstream string, n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.free += n
@@ -87,10 +81,10 @@
 	}
 }
 
-// bodyBuffers holds the body of a request, or of its response by one upstream. Their
-// memory counts as taken until release.
-type bodyBuffers struct {
-	memory *bufferMemory
+// Buffers holds the body of a request, or of its response by one upstream. Their
+// memory counts as taken until Release.
+type Buffers struct {
+	memory *Memory
 	// upstream is the ID of the upstream that sends the response, empty for a request.
 	upstream string
 	taken    int
@@ -100,10 +94,10 @@
 // garbage, of which the collector would let as much gather as is in use.
 var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
 
-// readAll reads a body to its end. It returns errTooLong if the body has more than
-// limit bytes, and errNoMemory if there is no memory for it.
-func (b *bodyBuffers) readAll(body io.Reader, limit int) ([]byte, error) {
-	if err := b.take(firstBufferBytes); err != nil {
+// ReadAll reads a body to its end. It returns ErrTooLong if the body has more than
+// limit bytes, and ErrNoMemory if there is no memory for it.
+func (b *Buffers) ReadAll(body io.Reader, limit int) ([]byte, error) {
+	if err := b.Take(firstBufferBytes); err != nil {
 		return nil, err
 	}
 	first := make([]byte, firstBufferBytes)
@@ -112,7 +106,7 @@
 	case err != nil && !errors.Is(err, io.EOF):
 		return nil, err
 	case n > limit:
-		return nil, errTooLong
+		return nil, ErrTooLong
 	case err == nil:
 		return b.readPieces(first, body, limit)
 	}
@@ -120,7 +114,7 @@
 }
 
 // readPieces reads the rest of a body and returns the whole body.
-func (b *bodyBuffers) readPieces(first []byte, body io.Reader, limit int) ([]byte, error) {
+func (b *Buffers) readPieces(first []byte, body io.Reader, limit int) ([]byte, error) {
 	var used []*[pieceBytes]byte
 	defer func() {
 		for _, piece := range used {
@@ -130,7 +124,7 @@
 	}()
 	parts := [][]byte{first}
 	for size := len(first); ; {
-		if err := b.take(pieceBytes); err != nil {
+		if err := b.Take(pieceBytes); err != nil {
 			return nil, err
 		}
 		piece := pieces.Get().(*[pieceBytes]byte)
@@ -142,9 +136,9 @@
 		case err != nil && !errors.Is(err, io.EOF):
 			return nil, err
 		case size > limit:
-			return nil, errTooLong
+			return nil, ErrTooLong
 		case err != nil:
-			if err := b.take(size); err != nil {
+			if err := b.Take(size); err != nil {
 				return nil, err
 			}
 			return bytes.Join(parts, nil), nil
@@ -163,20 +157,21 @@
 	return n, err
 }
 
-func (b *bodyBuffers) take(n int) error {
+// Take takes n more bytes. It returns ErrNoMemory if there is no room for them.
+func (b *Buffers) Take(n int) error {
 	if !b.memory.take(b.upstream, n) {
-		return errNoMemory
+		return ErrNoMemory
 	}
 	b.taken += n
 	return nil
 }
 
-func (b *bodyBuffers) give(n int) {
+func (b *Buffers) give(n int) {
 	b.memory.give(b.upstream, n)
 	b.taken -= n
 }
 
-// release gives the memory back. The bodies must not be used any more.
-func (b *bodyBuffers) release() {
+// Release gives the memory back. The bodies must not be used any more.
+func (b *Buffers) Release() {
 	b.give(b.taken)
 }
--- a/internal/gateway/forward/buffer_test.go
+++ b/internal/bodybuf/bodybuf_test.go
@@ -1,4 +1,4 @@
-package forward
+package bodybuf
 
 import (
 	"bytes"
@@ -12,6 +12,10 @@
 	"github.com/stretchr/testify/require"
 )
 
+const longestBody = 8 << 20
+
+func newMemory() *Memory { return NewMemory(48 << 20) }
+
 // TestBodiesAreReadWhole reads bodies of lengths around the sizes of buffers, in
 // pieces of the sender's choice.
 func TestBodiesAreReadWhole(t *testing.T) {
@@ -21,18 +25,18 @@
 	} {
 		body := bytes.Repeat([]byte("0123456789abc"), n/13+1)[:n]
 		for _, reader := range []io.Reader{bytes.NewReader(body), iotest.HalfReader(bytes.NewReader(body)), iotest.DataErrReader(bytes.NewReader(body))} {
-			b := bodyBuffers{memory: newBufferMemory(), upstream: "w"}
-			got, err := b.readAll(reader, max(n, 1))
+			b := newMemory().Buffers("w")
+			got, err := b.ReadAll(reader, max(n, 1))
 			require.NoError(t, err)
 			require.Equal(t, string(body), string(got))
 			require.LessOrEqual(t, n, b.taken)
-			b.release()
-			require.Equal(t, newBufferMemory(), b.memory, "all memory is given back")
+			b.Release()
+			require.Equal(t, newMemory(), b.memory, "all memory is given back")
 		}
 		if n > 0 {
-			b := bodyBuffers{memory: newBufferMemory()}
-			_, err := b.readAll(bytes.NewReader(body), n-1)
-			require.ErrorIs(t, err, errTooLong)
+			b := newMemory().Buffers("")
+			_, err := b.ReadAll(bytes.NewReader(body), n-1)
+			require.ErrorIs(t, err, ErrTooLong)
 		}
 	}
 }
@@ -42,8 +46,8 @@
 func TestBodyThatIsCutOffIsNotWhole(t *testing.T) {
 	for _, n := range []int{0, 1, firstBufferBytes, firstBufferBytes + 1, firstBufferBytes + pieceBytes, firstBufferBytes + pieceBytes + 1} {
 		cut := io.MultiReader(strings.NewReader(strings.Repeat("x", n)), iotest.ErrReader(io.ErrUnexpectedEOF))
-		b := bodyBuffers{memory: newBufferMemory()}
-		_, err := b.readAll(cut, maxResponseBytes)
+		b := newMemory().Buffers("")
+		_, err := b.ReadAll(cut, longestBody)
 		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "%d bytes", n)
 	}
 }
@@ -56,13 +60,13 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range count {
-		b := bodyBuffers{memory: newBufferMemory()}
-		_, err := b.readAll(endlessBody{}, maxResponseBytes)
-		require.ErrorIs(t, err, errTooLong)
-		b.release()
+		b := newMemory().Buffers("")
+		_, err := b.ReadAll(endlessBody{}, longestBody)
+		require.ErrorIs(t, err, ErrTooLong)
+		b.Release()
 	}
 	runtime.ReadMemStats(&after)
-	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(count*maxResponseBytes/2))
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(count*longestBody/2))
 }
 
 type endlessBody struct{}
@@ -73,31 +77,31 @@
 // after the other, while short responses of another one come.
 func TestUpstreamsThatTakeMemoryLeaveRoomForOthers(t *testing.T) {
 	for _, endless := range []int{1, 2, 10, 100} {
-		memory := newBufferMemory()
+		memory := newMemory()
 		for i := range endless {
-			b := bodyBuffers{memory: memory, upstream: fmt.Sprint("endless-", i)}
+			b := memory.Buffers(fmt.Sprint("endless-", i))
 			for n := pieceBytes; n > 0; {
-				if b.take(n) != nil {
+				if b.Take(n) != nil {
 					n /= 2
 				}
 			}
 		}
-		sound := bodyBuffers{memory: memory, upstream: "sound"}
-		require.NoError(t, sound.take(reservedShareBytes), "%d endless", endless)
+		sound := memory.Buffers("sound")
+		require.NoError(t, sound.Take(reservedShareBytes), "%d endless", endless)
 		if endless == 1 {
-			require.NoError(t, sound.take(maxResponseBytes), "a long response")
+			require.NoError(t, sound.Take(longestBody), "a long response")
 		}
 	}
 }
 
 // Load pattern: callers send as many bodies as are accepted, while responses are due.
 func TestBodiesOfRequestsLeaveRoomForResponses(t *testing.T) {
-	memory := newBufferMemory()
-	requests := bodyBuffers{memory: memory}
-	for requests.take(pieceBytes) == nil {
+	memory := newMemory()
+	requests := memory.Buffers("")
+	for requests.Take(pieceBytes) == nil {
 	}
 	for i := range reservedBytes / reservedShareBytes {
-		response := bodyBuffers{memory: memory, upstream: fmt.Sprint("w-", i)}
-		require.NoError(t, response.take(reservedShareBytes))
+		response := memory.Buffers(fmt.Sprint("w-", i))
+		require.NoError(t, response.Take(reservedShareBytes))
 	}
 }
--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/exchange"
@@ -173,12 +174,12 @@
 	return false, 0, a.errorOutcome(errors.New("too many stray answers"))
 }
 
-// discard reads a body to its end. It returns errTooLong if the body has more than
+// discard reads a body to its end. It returns bodybuf.ErrTooLong if the body has more than
 // limit bytes.
 func discard(body io.Reader, limit int64) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
 	if err == nil && n > limit {
-		return errTooLong
+		return bodybuf.ErrTooLong
 	}
 	return err
 }
@@ -282,7 +283,7 @@
 		return a.relayStream(resp)
 	}
 	a.inFlight.Received(boottime.Now())
-	body, err := a.newBuffers(a.member.ID).readAll(resp.Body, maxResponseBytes)
+	body, err := a.newBuffers(a.member.ID).ReadAll(resp.Body, maxResponseBytes)
 	switch {
 	case err != nil:
 	case a.holdsStray(resp, body):
--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -3,6 +3,23 @@
 import (
 	"errors"
 	"net/http"
+
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
+)
+
+// Bounds of what is read of one response, and of the memory that all bodies take.
+const (
+	// maxResponseBytes bounds a buffered response body.
+	maxResponseBytes = 8 << 20
+	// maxStrayBytes bounds the body of a response to another attempt, which is
+	// read to find the one behind it, and maxRejectionBytes that of a rejection,
+	// which is read to reuse the connection.
+	maxStrayBytes     = 1 << 20
+	maxRejectionBytes = 16 << 10
+	// maxBufferedBytes bounds the bodies of all requests and responses that a
+	// host holds: hosts have a few hundred MB, and the collector may keep as much
+	// again.
+	maxBufferedBytes = 48 << 20
 )
 
 // readBody reads the whole body, so that it can be sent more than once and
@@ -16,10 +33,10 @@
 	if doc := p.h.Snapshots.Snapshot().View.Document; doc != nil && doc.Limits.MaxBodyBytes > 0 {
 		limit = doc.Limits.MaxBodyBytes
 	}
-	body, err := p.newBuffers("").readAll(http.MaxBytesReader(p.w, p.r.Body, int64(limit)), limit)
+	body, err := p.newBuffers("").ReadAll(http.MaxBytesReader(p.w, p.r.Body, int64(limit)), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, bodybuf.ErrNoMemory):
 		p.w.Header().Set("Connection", "close")
 		p.refuse(http.StatusServiceUnavailable, err.Error(), jitter(retryOtherHost))
 		return false
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
@@ -79,7 +80,7 @@
 type Handler struct {
 	Deps
 	// bodies is the memory that the bodies of all requests may take.
-	bodies   *bufferMemory
+	bodies   *bodybuf.Memory
 	lost     lostStreams
 	stopping atomic.Pointer[StopDeadlines]
 	// ending is done when the process is about to end.
@@ -99,7 +100,7 @@
 
 // New returns a Handler with the given dependencies.
 func New(deps Deps) *Handler {
-	h := &Handler{Deps: deps, bodies: newBufferMemory()}
+	h := &Handler{Deps: deps, bodies: bodybuf.NewMemory(maxBufferedBytes)}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
@@ -130,7 +131,7 @@
 	customer *catalog.Customer
 	service  string
 	// buffers holds the bodies of the request and its responses.
-	buffers []*bodyBuffers
+	buffers []*bodybuf.Buffers
 	// deadline is the boot time at which the caller's timeout, or defaultTimeout
 	// if it states none, or the route's timeout ends, whichever is first.
 	deadline time.Duration
@@ -200,15 +201,15 @@
 
 // newBuffers returns the buffers of a response of an upstream, or of the request's body if
 // upstream is empty. They are released at the end of the request.
-func (p *proxyRequest) newBuffers(upstream string) *bodyBuffers {
-	b := &bodyBuffers{memory: p.h.bodies, upstream: upstream}
+func (p *proxyRequest) newBuffers(upstream string) *bodybuf.Buffers {
+	b := p.h.bodies.Buffers(upstream)
 	p.buffers = append(p.buffers, b)
 	return b
 }
 
 func (p *proxyRequest) releaseBuffers() {
 	for _, b := range p.buffers {
-		b.release()
+		b.Release()
 	}
 }
 
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/exchange"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/upconn"
@@ -59,7 +60,7 @@
 	*attempt
 	resp    *http.Response
 	reader  *bufio.Reader
-	buffers *bodyBuffers
+	buffers *bodybuf.Buffers
 	// pending holds complete events that were not sent to the caller yet, and while one is
 	// read also the beginning of the next.
 	pending []byte
@@ -188,7 +189,7 @@
 		return nil
 	}
 	grown := max(min(2*size, maxPendingBytes), len(r.pending)+n, firstEventBytes)
-	if err := r.buffers.take(grown - size); err != nil {
+	if err := r.buffers.Take(grown - size); err != nil {
 		return err
 	}
 	r.pending = append(make([]byte, 0, grown), r.pending...)
