plain: bodies without end take bounded memory in the older front too

The twin of the gateway's fault: the client of plain services kept up to 16 MB of each body, with no bound over all calls, so that 100 bodies without end took the host's memory and would have ended the requests of other callers with the process.

It now reads into the memory of package bodybuf, 96 MB for all plain upstreams of a host, of which one upstream can use half. A call whose body finds no room is Lost, as one whose body is too long: it may have run.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
 	"github.com/marigoldmux/marigoldmux/internal/httpjson"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/engine"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/plain"
@@ -28,6 +29,8 @@
 	// peerScheme is "https" if peers use TLS, else "http".
 	peerScheme string
 	options    []connect.ClientOption
+	// bodies is the memory that the responses of all plain services may take.
+	bodies *bodybuf.Memory
 
 	mu      sync.Mutex
 	engines map[string]engine.Engine
@@ -44,6 +47,7 @@
 		peer:       httpjson.NewPeerClient(),
 		peerScheme: "http",
 		options:    options,
+		bodies:     bodybuf.NewMemory(plain.MaxBufferedBytes),
 		engines:    map[string]engine.Engine{},
 		plains:     map[string]plain.Service{},
 		peers:      map[string]peerv1connect.PeerServiceClient{},
@@ -64,7 +68,7 @@
 
 // Plain implements Dialer.
 func (d *HTTP) Plain(address string) plain.Service {
-	return cached(d, d.plains, address, func() plain.Service { return plain.NewClient("http://"+address, d.client) })
+	return cached(d, d.plains, address, func() plain.Service { return plain.NewClient("http://"+address, d.client, d.bodies) })
 }
 
 // Peer implements Dialer.
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -6,10 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
 	"github.com/marigoldmux/marigoldmux/internal/httpjson"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 )
@@ -17,14 +17,16 @@
 // HeaderRequestID carries the request's ID to the upstream and back.
 const HeaderRequestID = "X-Request-Id"
 
-// maxBodyBytes is the maximum length of a response body.
-const maxBodyBytes = 16 << 20
-
-var (
-	errNoLength = errors.New("response has neither a length nor a transfer encoding")
-	errTooLong  = fmt.Errorf("response longer than %d bytes", maxBodyBytes)
+const (
+	// maxBodyBytes is the maximum length of a response body.
+	maxBodyBytes = 16 << 20
+	// MaxBufferedBytes bounds the bodies that a host reads at once: hosts have a few hundred
+	// MB. One upstream can use half of it, and the longest body takes twice its length.
+	MaxBufferedBytes = 96 << 20
 )
 
+var errNoLength = errors.New("response has neither a length nor a transfer encoding")
+
 // Call is one call of a plain service.
 type Call struct {
 	// RequestID is echoed by the upstream, so that a response to another request is
@@ -49,15 +51,17 @@
 
 // Client is a Service that is reached over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	memory *bodybuf.Memory
 }
 
 var _ Service = (*Client)(nil)
 
-// NewClient returns a client of the plain service at a base URL.
-func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, http: client}
+// NewClient returns a client of the plain service at a base URL, which reads bodies into the
+// given memory.
+func NewClient(base string, client *http.Client, memory *bodybuf.Memory) *Client {
+	return &Client{base: base, http: client, memory: memory}
 }
 
 // Call implements Service.
@@ -74,7 +78,7 @@
 		return Response{}, upstream.Classify(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readBody(resp)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return Response{}, &upstream.Failure{Kind: upstream.Lost, Err: err}
 	}
@@ -93,15 +97,13 @@
 }
 
 // readBody returns the complete body of a response. It returns an error if the
-// body is longer than maxBodyBytes, or if the response has neither a length nor a
-// transfer encoding, since the body may then have been truncated.
-func readBody(resp *http.Response) ([]byte, error) {
+// body is longer than maxBodyBytes, if there is no memory for it, or if the response has
+// neither a length nor a transfer encoding, since the body may then have been truncated.
+func (c *Client) readBody(resp *http.Response) ([]byte, error) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = errTooLong
-	}
-	return body, err
+	buffers := c.memory.Buffers(c.base)
+	defer buffers.Release()
+	return buffers.ReadAll(resp.Body, maxBodyBytes)
 }
--- a/internal/upstream/plain/plain_test.go
+++ b/internal/upstream/plain/plain_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
 	"github.com/marigoldmux/marigoldmux/internal/httpjson"
 	"github.com/marigoldmux/marigoldmux/internal/upstream"
 	"github.com/marigoldmux/marigoldmux/internal/upstream/plain"
@@ -77,7 +78,7 @@
 // connection after its response, since it does not know yet that the request was
 // written.
 func (f *flakyUpstream) callTwice(t *testing.T) (plain.Response, error) {
-	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient())
+	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
 	call := plain.Call{RequestID: "r/1", Route: "book", Body: []byte(`{"for": "Ana"}`)}
 	idle := false
 	for try := 0; !idle && try < maxWarmUps; try++ {
@@ -168,7 +169,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	client := plain.NewClient("http://"+address, httpjson.NewClient())
+	client := plain.NewClient("http://"+address, httpjson.NewClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
 	_, err = client.Call(context.Background(), plain.Call{RequestID: "r/1", Route: "book"})
 	require.Equal(t, upstream.NotSent, upstream.KindOf(err))
 }
