dispatch: a token of an engine has a bound

A line of an engine may have 64 KB, so that a request of 2,000 tokens could hold 125 MB.

A token of over 4 KB, as much as the gateway allows for one, now ends the attempt like a token beyond the request's bound. TestEngineThatGeneratesWithoutEndIsCut has a second form with tokens of 60 KB: before, 30 of 30 were kept; after, none. The first form is unchanged.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/document"
@@ -18,8 +19,14 @@
 	document.ClassBatch:       0,
 }
 
-// errTooManyTokens ends a stream that is longer than its request allows.
-var errTooManyTokens = errors.New("engine generates more tokens than were requested")
+// maxTokenBytes bounds one token: the output of a request is kept until it is forgotten.
+const maxTokenBytes = 4 << 10
+
+// Errors that end a stream that is longer than its request allows.
+var (
+	errTooManyTokens = errors.New("engine generates more tokens than were requested")
+	errTokenTooLong  = fmt.Errorf("engine sends a token of more than %d bytes", maxTokenBytes)
+)
 
 func (d *Dispatcher) runEngine(ctx context.Context, call *Call) request.Result {
 	failed := map[string]bool{}
@@ -98,6 +105,9 @@
 		if chunk.Index >= call.Request.MaxTokens {
 			return &upstream.Failure{Kind: upstream.Mismatched, Err: errTooManyTokens}
 		}
+		if len(chunk.Token) > maxTokenBytes {
+			return &upstream.Failure{Kind: upstream.Mismatched, Err: errTokenTooLong}
+		}
 		if err := call.Output.Append(chunk.Index, chunk.Token); err != nil {
 			return &upstream.Failure{Kind: upstream.Mismatched, Err: err}
 		}
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -20,6 +20,8 @@
 type fakeEngine struct {
 	engine.Engine
 	id string
+	// tokenBytes is the length of a token.
+	tokenBytes int
 	// tokens is the number of tokens, and next the index of the next one.
 	tokens, next int
 }
@@ -33,7 +35,7 @@
 		return engine.Chunk{}, &upstream.Failure{Kind: upstream.Lost, Err: io.ErrUnexpectedEOF}
 	}
 	e.next++
-	return engine.Chunk{ID: e.id, Index: e.next - 1, Token: strings.Repeat("x", 100)}, nil
+	return engine.Chunk{ID: e.id, Index: e.next - 1, Token: strings.Repeat("x", e.tokenBytes)}, nil
 }
 
 func (e *fakeEngine) Close() error { return nil }
@@ -47,21 +49,29 @@
 func (d fakeDialer) Engine(string) engine.Engine { return d.engine }
 
 // TestEngineThatGeneratesWithoutEndIsCut checks that a request keeps no more tokens than
-// it asked for, whatever its engine sends, and is not complete then.
+// it asked for, and none that are far too long, whatever its engine sends, and is not
+// complete then.
 func TestEngineThatGeneratesWithoutEndIsCut(t *testing.T) {
 	const maxTokens = 30
-	d := newTestDispatcher(t)
-	defer d.Abort()
-	// The call is launched only behind the test, so nothing else works on it before.
-	call, err := d.accept(Submission{
-		Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p", MaxTokens: maxTokens,
-	})
-	require.NoError(t, err)
-	defer d.launch(call)
-	generating := &fakeEngine{id: call.Request.ID, tokens: 100000}
-	d.opts.Dialer = fakeDialer{engine: generating}
-	err = d.forwardTokens(t.Context(), &attempt{call: call, lease: &route.Lease{}, upstream: &control.Upstream{}, started: time.Now()})
-	require.Equal(t, maxTokens, call.Output.Len())
-	require.Equal(t, upstream.Mismatched, upstream.KindOf(err), "%v", err)
-	require.Less(t, generating.next, generating.tokens)
+	for name, test := range map[string]struct{ tokenBytes, kept int }{
+		"tokens":      {tokenBytes: 100, kept: maxTokens},
+		"long tokens": {tokenBytes: 60 << 10, kept: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestDispatcher(t)
+			defer d.Abort()
+			// The call is launched only behind the test, so nothing else works on it before.
+			call, err := d.accept(Submission{
+				Customer: "web-chat", Service: "advice", Route: "menu", Prompt: "p", MaxTokens: maxTokens,
+			})
+			require.NoError(t, err)
+			defer d.launch(call)
+			generating := &fakeEngine{id: call.Request.ID, tokenBytes: test.tokenBytes, tokens: 100000}
+			d.opts.Dialer = fakeDialer{engine: generating}
+			err = d.forwardTokens(t.Context(), &attempt{call: call, lease: &route.Lease{}, upstream: &control.Upstream{}, started: time.Now()})
+			require.Equal(t, test.kept, call.Output.Len())
+			require.Equal(t, upstream.Mismatched, upstream.KindOf(err), "%v", err)
+			require.Less(t, generating.next, generating.tokens)
+		})
+	}
 }
