--- a/internal/bodybuf/bodybuf.go
+++ b/internal/bodybuf/bodybuf.go
@@ -59,8 +59,10 @@
 		m.free = free
 		return true
 	}
+	// used is what the upstream then has.
 	used := m.byUpstream[upstream] + n
-	if used > reservedShareBytes && used > free-reservedBytes || free < 0 {
+	fits := used <= free-reservedBytes || used <= reservedShareBytes && free >= 0
+	if !fits {
 		return false
 	}
 	m.free, m.byUpstream[upstream] = free, used
