--- a/internal/gateway/poison/part_test.go
+++ b/internal/gateway/poison/part_test.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// Scenario: engines crash within moments under two parts. All requests with these have a part
+// in common with all others, and nothing is answered meanwhile. Both parts together explain
+// all crashes, so no trial of the part in common has failed.
+func TestFirstTrialOfAPartWhoseCrashesAreExplainedIsNotMissed(t *testing.T) {
+	for _, engines := range []int{6, 9, 40} {
+		table := poison.NewTable()
+		crashedAt := time.Second
+		for i := range engines {
+			crashedAt += 50 * time.Millisecond
+			crashUnder(table, fmt.Sprint("u", i), crashedAt,
+				prompt(uint64(2*i), "system", "deadly-0"), prompt(uint64(2*i+1), "system", "deadly-1"))
+		}
+		sound := prompt(99, "system")
+		require.True(t, isHeld(table, sound, crashedAt+500*time.Millisecond))
+		verdict := table.Judge(sound, "host", []string{"host"}, crashedAt+time.Second)
+		require.True(t, verdict.Trial, "%d engines", engines)
+	}
+}
+
 // Scenario: a stream breaks off long after its engine began to answer.
 func TestPartsThatWereAnsweredAreNotBlamed(t *testing.T) {
 	table := poison.NewTable()
