gateway: signals, errors of servers, connections and resident memory are visible

The hypotheses of the incident could not be told apart by the logs of a host: a signal left no line, the Go server's own errors (a handler that panicked, no descriptor left) went to standard error past the log, connections were not counted and resident memory was no metric. Events 931 to 933 and the metrics Connections and ResidentBytes say so now. All listeners are opened before the first of them serves.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -76,6 +76,7 @@
 	stop := make(chan struct{})
 	go func() {
 		for s := range received {
+			g.SignalReceived(s)
 			if s != syscall.SIGHUP {
 				close(stop)
 				return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,9 @@
 	eventUndecodable   = event.Define(918, zapcore.WarnLevel, "entry cannot be decoded")
 	eventViewChanged   = event.Define(919, zapcore.InfoLevel, "view changed")
 	eventSourceChanged = event.Define(928, zapcore.InfoLevel, "source of the view changed")
+	eventSignal        = event.Define(931, zapcore.InfoLevel, "signal received")
+	eventServerError   = event.Define(932, zapcore.WarnLevel, "server reports an error")
+	eventCut           = event.Define(933, zapcore.WarnLevel, "connections in use were closed")
 )
 
 // Feed reads and writes the log. It reads the operators' changes and the
@@ -137,6 +140,8 @@
 	// sourceChanged is closed and replaced when source changes.
 	sourceChanged atomic.Pointer[chan struct{}]
 
+	// servers are the servers of all listeners, set before the first of them serves.
+	servers  []*listeningServer
 	stopping atomic.Bool
 	// versionShares holds the rollout shares by service: the share of its
 	// requests that goes to the target version.
@@ -188,8 +193,7 @@
 func (g *Gateway) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	servers, err := g.listen()
-	if err != nil {
+	if err := g.listen(); err != nil {
 		return err
 	}
 	socket, err := g.listenPeers()
@@ -209,7 +213,7 @@
 	go g.evictUnlisted(ctx)
 	<-stop
 	g.drain()
-	g.closeServers(servers)
+	g.closeServers()
 	cancel()
 	if err := socket.Close(); err != nil {
 		g.events.Emit(eventStopped, event.Err(err))
@@ -219,39 +223,37 @@
 }
 
 // listen opens the listeners and starts to serve on them.
-func (g *Gateway) listen() ([]listeningServer, error) {
-	handlers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{g.options.Listen.Callers, g.forward},
-		{g.options.Listen.Readiness, g.ports.ReadyHandler(g.ready)},
-		{g.options.Listen.Directory, g.ports.DirectoryHandler(g)},
-		{g.peerAddress, relay.Handler(g.updates.copy)},
+func (g *Gateway) listen() error {
+	type endpoint struct {
+		name, address string
+		handler       http.Handler
+	}
+	endpoints := []endpoint{
+		{"callers", g.options.Listen.Callers, g.forward},
+		{"readiness", g.options.Listen.Readiness, g.ports.ReadyHandler(g.ready)},
+		{"directory", g.options.Listen.Directory, g.ports.DirectoryHandler(g)},
+		{"peers", g.peerAddress, relay.Handler(g.updates.copy)},
 	}
 	if g.options.MetricsPort > 0 {
 		address := net.JoinHostPort(g.options.Address, strconv.Itoa(g.options.MetricsPort))
-		handlers = append(handlers, struct {
-			address string
-			handler http.Handler
-		}{address, g.metricsHandler()})
+		endpoints = append(endpoints, endpoint{"metrics", address, g.metricsHandler()})
 	}
-	var servers []listeningServer
-	for _, h := range handlers {
-		listener, err := net.Listen("tcp4", h.address)
+	for _, e := range endpoints {
+		listener, err := net.Listen("tcp4", e.address)
 		if err != nil {
-			return nil, eris.Wrapf(ErrGateway, "listen on %s: %v", h.address, err)
+			return eris.Wrapf(ErrGateway, "listen on %s: %v", e.address, err)
 		}
-		server := newServer(h.handler)
-		servers = append(servers, listeningServer{server, listener})
-		go g.serve(server, listener)
+		g.servers = append(g.servers, g.newServer(e.name, e.handler, listener))
 	}
-	return servers, nil
+	for _, server := range g.servers {
+		go g.serve(server)
+	}
+	return nil
 }
 
-func (g *Gateway) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		g.events.Emit(eventLost, zap.String("dependency", "listener "+listener.Addr().String()), event.Err(err))
+func (g *Gateway) serve(server *listeningServer) {
+	if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+		g.events.Emit(eventLost, zap.String("dependency", "listener "+server.listener.Addr().String()), event.Err(err))
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"sync"
 	"time"
@@ -15,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/connstate"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/forward"
@@ -55,10 +60,27 @@
 // dropped.
 const evictInterval = time.Second
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+// newServer returns the server of one of the host's listeners. What it reports itself,
+// such as the panic of a handler, goes to the log.
+func (g *Gateway) newServer(name string, handler http.Handler, listener net.Listener) *listeningServer {
+	s := &listeningServer{name: name, listener: listener}
+	s.Server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.connections.Record, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
 	}
+	return s
+}
+
+// serverErrors turns what an http.Server reports into events.
+type serverErrors struct {
+	events *event.Logger
+	server string
+}
+
+// Write implements io.Writer.
+func (e serverErrors) Write(message []byte) (int, error) {
+	e.events.Emit(eventServerError, zap.String("server", e.server), zap.ByteString("message", bytes.TrimSpace(message)))
+	return len(message), nil
 }
 
 // drain stops accepting streams, later all requests, and returns when no request is in
@@ -93,24 +115,28 @@
 // listeningServer is a server with its listener.
 type listeningServer struct {
 	*http.Server
-	listener net.Listener
+	// name is the name of the address in the settings.
+	name        string
+	listener    net.Listener
+	connections connstate.Counter
 }
 
 // closeServers ends all servers such that the connections that the kernel has
 // accepted for them are served: each takes no new connections, accepts those that
 // wait, and then finishes its requests within closeTimeout.
-func (g *Gateway) closeServers(servers []listeningServer) {
-	for _, server := range servers {
+func (g *Gateway) closeServers() {
+	for _, server := range g.servers {
 		refuseConnections(server.listener)
 	}
 	time.Sleep(acceptRest)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	var closing sync.WaitGroup
-	for _, server := range servers {
+	for _, server := range g.servers {
 		closing.Go(func() {
 			err := server.Shutdown(ctx)
 			if errors.Is(err, context.DeadlineExceeded) {
+				g.events.Emit(eventCut, zap.String("server", server.name), zap.Int("busy", server.connections.Busy()))
 				err = server.Close()
 			}
 			if err != nil {
@@ -162,6 +188,11 @@
 	}
 }
 
+// SignalReceived emits an event about a signal to the process.
+func (g *Gateway) SignalReceived(signal os.Signal) {
+	g.events.Emit(eventSignal, zap.Stringer("signal", signal))
+}
+
 // SettingsChecked emits an event about a check of the settings file with the
 // result err.
 func (g *Gateway) SettingsChecked(err error) { g.events.Emit(eventReloaded, event.Err(err)) }
@@ -178,8 +209,9 @@
 	ConfigAgeMs, ListAgeMs              int64
 	Peers, Holders                      int
 	DutyToken                           int64
-	HeapBytes                           uint64
+	HeapBytes, ResidentBytes            uint64
 	Goroutines                          int
+	Connections                         map[string]int
 	LatencyMs                           map[string]map[string]float64
 }
 
@@ -197,14 +229,33 @@
 		LogLinesDropped: g.sink.Dropped(), LogLinesSampled: g.sink.Sampled(),
 		ConfigAgeMs: (now - s.View.ConfirmedAt).Milliseconds(), ListAgeMs: (now - s.View.ListedAt).Milliseconds(),
 		Peers: len(s.Peers), Holders: s.SenderCount, DutyToken: token,
-		HeapBytes: memory.HeapAlloc, Goroutines: runtime.NumGoroutine(), LatencyMs: g.stats.LatencyQuantiles(),
+		HeapBytes: memory.HeapAlloc, ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(),
+		Connections: map[string]int{}, LatencyMs: g.stats.LatencyQuantiles(),
 	}
 	if s.View.Document != nil {
 		m.ConfigVersion = s.View.Document.Version
 	}
+	for _, server := range g.servers {
+		m.Connections[server.name] = server.connections.Open()
+	}
 	return m
 }
 
+// residentBytes returns the memory of the process as the kernel counts it, 0 where the
+// kernel does not say.
+func residentBytes() uint64 {
+	// The second number of the file is the resident memory in pages.
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident uint64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * uint64(os.Getpagesize())
+}
+
 func (g *Gateway) metricsHandler() http.Handler {
 	vars := expvar.NewMap("gateway")
 	vars.Set(g.options.Host, expvar.Func(g.metrics))
