gateway: a port in use at the start is waited for

Cause: the first error of a listen ended the process, though most such errors pass by themselves: an address in use by a process that is about to end, an address that the interface doesn't have yet, no descriptor or memory for now.

Such errors are now retried until the host is asked to stop, with an event when it has to wait and when it doesn't any more. Others, such as a privileged port, still end it with a clear error. The metrics are not waited for: a host without them can serve. What opens and closes listeners has moved to a file of its own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -193,11 +192,13 @@
 func (g *Gateway) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := g.listen(); err != nil {
-		return err
-	}
-	socket, err := g.listenPeers()
+	starting := untilClosed(stop)
+	socket, err := g.listen(starting)
 	if err != nil {
+		g.closeServers()
+		if starting.Err() != nil {
+			return nil
+		}
 		return err
 	}
 	g.events.Emit(eventStarted, zap.String("host", g.options.Host), zap.String("zone", g.options.AvailabilityZone),
@@ -222,39 +223,14 @@
 	return nil
 }
 
-// listen opens the listeners and starts to serve on them.
-func (g *Gateway) listen() error {
-	type endpoint struct {
-		name, address string
-		handler       http.Handler
-	}
-	endpoints := []endpoint{
-		{"callers", g.options.Listen.Callers, g.forward},
-		{"readiness", g.options.Listen.Readiness, g.ports.ReadyHandler(g.ready)},
-		{"directory", g.options.Listen.Directory, g.ports.DirectoryHandler(g)},
-		{"peers", g.peerAddress, relay.Handler(g.updates.copy)},
-	}
-	if g.options.MetricsPort > 0 {
-		address := net.JoinHostPort(g.options.Address, strconv.Itoa(g.options.MetricsPort))
-		endpoints = append(endpoints, endpoint{"metrics", address, g.metricsHandler()})
-	}
-	for _, e := range endpoints {
-		listener, err := net.Listen("tcp4", e.address)
-		if err != nil {
-			return eris.Wrapf(ErrGateway, "listen on %s: %v", e.address, err)
-		}
-		g.servers = append(g.servers, g.newServer(e.name, e.handler, listener))
-	}
-	for _, server := range g.servers {
-		go g.serve(server)
-	}
-	return nil
-}
-
-func (g *Gateway) serve(server *listeningServer) {
-	if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
-		g.events.Emit(eventLost, zap.String("dependency", "listener "+server.listener.Addr().String()), event.Err(err))
-	}
+// untilClosed returns a context that is done when a channel is closed.
+func untilClosed(stop <-chan struct{}) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-stop
+		cancel()
+	}()
+	return ctx
 }
 
 // ready reports whether the host is ready for callers: the age of its
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,7 +9,6 @@
 	"sort"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
@@ -93,18 +92,6 @@
 	return addresses
 }
 
-func (g *Gateway) listenPeers() (*net.UDPConn, error) {
-	address, err := netip.ParseAddrPort(g.peerAddress)
-	if err != nil {
-		return nil, eris.Wrapf(ErrGateway, "address of peers: %v", err)
-	}
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, eris.Wrapf(ErrGateway, "listen on %s: %v", g.peerAddress, err)
-	}
-	return socket, nil
-}
-
 func (g *Gateway) receiveDigests(ctx context.Context, socket *net.UDPConn) {
 	buf := make([]byte, members.MaxDigestBytes)
 	for ctx.Err() == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,37 +1,23 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
-	"log"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
-	"github.com/marigoldmux/marigoldmux/internal/connstate"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/forward"
 )
 
-// Limits of callers' connections. The configuration's limits are stricter.
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = time.Minute
-	maxHeaderBytes = 64 << 10
-)
-
 // Timing of a graceful stop.
 const (
 	// acceptStreamsFor is how long streams are accepted after the stop signal.
@@ -45,10 +31,6 @@
 	// graceMargin is the time left between the exit and the end of the grace
 	// period.
 	graceMargin = 500 * time.Millisecond
-	// acceptRest is how long connections that wait are accepted before the listeners
-	// close, and closeTimeout bounds the refusals of the requests that arrived on them.
-	acceptRest   = 50 * time.Millisecond
-	closeTimeout = 300 * time.Millisecond
 	// drainCheckInterval is the interval at which a stopping host checks whether
 	// callers use it, and activeCheckInterval that for requests in progress when it
 	// refuses further ones.
@@ -60,29 +42,6 @@
 // dropped.
 const evictInterval = time.Second
 
-// newServer returns the server of one of the host's listeners. What it reports itself,
-// such as the panic of a handler, goes to the log.
-func (g *Gateway) newServer(name string, handler http.Handler, listener net.Listener) *listeningServer {
-	s := &listeningServer{name: name, listener: listener}
-	s.Server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.connections.Record, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
-	}
-	return s
-}
-
-// serverErrors turns what an http.Server reports into events.
-type serverErrors struct {
-	events *event.Logger
-	server string
-}
-
-// Write implements io.Writer.
-func (e serverErrors) Write(message []byte) (int, error) {
-	e.events.Emit(eventServerError, zap.String("server", e.server), zap.ByteString("message", bytes.TrimSpace(message)))
-	return len(message), nil
-}
-
 // drain stops accepting streams, later all requests, and returns when no request is in
 // progress or the grace period is nearly over.
 func (g *Gateway) drain() {
@@ -112,56 +71,6 @@
 	return now-stopAt > minDrain && now-g.forward.LastRequestAt() > minIdle && g.forward.Active() == 0
 }
 
-// listeningServer is a server with its listener.
-type listeningServer struct {
-	*http.Server
-	// name is the name of the address in the settings.
-	name        string
-	listener    net.Listener
-	connections connstate.Counter
-}
-
-// closeServers ends all servers such that the connections that the kernel has
-// accepted for them are served: each takes no new connections, accepts those that
-// wait, and then finishes its requests within closeTimeout.
-func (g *Gateway) closeServers() {
-	for _, server := range g.servers {
-		refuseConnections(server.listener)
-	}
-	time.Sleep(acceptRest)
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	var closing sync.WaitGroup
-	for _, server := range g.servers {
-		closing.Go(func() {
-			err := server.Shutdown(ctx)
-			if errors.Is(err, context.DeadlineExceeded) {
-				g.events.Emit(eventCut, zap.String("server", server.name), zap.Int("busy", server.connections.Busy()))
-				err = server.Close()
-			}
-			if err != nil {
-				g.events.Emit(eventStopped, event.Err(err))
-			}
-		})
-	}
-	closing.Wait()
-}
-
-// refuseConnections shrinks the queue of connections that wait to be accepted: one
-// that is in the queue when its listener closes is reset.
-func refuseConnections(listener net.Listener) {
-	tcp, ok := listener.(*net.TCPListener)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	// Where the kernel refuses it, the queue keeps its length.
-	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), 0) })
-}
-
 // evictUnlisted drops idle connections and statistics of upstreams that are
 // draining or no longer listed.
 func (g *Gateway) evictUnlisted(ctx context.Context) {
