cli: SIGHUP before the handlers of signals ends no host

Cause: the default of SIGHUP is to end the process, and the Go runtime keeps to it until signal.Notify, which came after the start of the runtime, of all packages, and the read of the settings. No Go code runs early enough to close the window, so a constructor in C ignores the signal before the runtime starts (package hangup); the runtime leaves an ignored signal alone until it is asked for. What SIGHUP asks for isn't missed: the settings are read after it. Commands that run no host get the default back. Without cgo the window is shorter, but not closed. What remains is the time between exec and the constructor, in which no instruction of the program has run; who starts it can ignore the signal there.

Reloads and stops had one channel of four places: while a reload was held up, a few more of them took the place of the signal to stop, and the process was later killed with all it had accepted. They are apart now.

--- a/cmd/marigoldmux/main.go
+++ b/cmd/marigoldmux/main.go
@@ -18,5 +18,6 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	cli.Register()
 	flag.Parse()
+	cli.RestoreSignals(flag.Arg(0))
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -5,9 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -50,6 +48,7 @@
 }
 
 func (c *gatewayCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	signals := notifyHost()
 	o, err := options.Load(c.settings)
 	if err != nil {
 		return fail(fmt.Errorf("%s:\n%w", c.settings, err))
@@ -61,26 +60,24 @@
 	sink := stdlog.NewSink(os.Stdout)
 	defer sink.Drain(logDrainTimeout)
 	g := gateway.New(o, platform.Ports(o.Log, o.Cloud, o.Host), event.NewLogger(stdlog.Logger(sink, zapcore.InfoLevel)), sink)
-	if err := g.Run(c.signals(g)); err != nil {
+	if err := g.Run(c.follow(signals, g)); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
 }
 
-// signals returns a channel that is closed on SIGTERM or SIGINT. On SIGHUP it
-// only loads the settings and reports the result to g: addresses do not change
-// while a process runs.
-func (c *gatewayCommand) signals(g *gateway.Gateway) <-chan struct{} {
-	received := make(chan os.Signal, 4)
-	signal.Notify(received, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+// follow returns a channel that is closed on the first signal to stop. On others it only
+// loads the settings and reports the result to g: addresses do not change while a process
+// runs.
+func (c *gatewayCommand) follow(signals hostSignals, g *gateway.Gateway) <-chan struct{} {
 	stop := make(chan struct{})
 	go func() {
-		for s := range received {
+		g.SignalReceived(<-signals.stop)
+		close(stop)
+	}()
+	go func() {
+		for s := range signals.reload {
 			g.SignalReceived(s)
-			if s != syscall.SIGHUP {
-				close(stop)
-				return
-			}
 			_, err := options.Load(c.settings)
 			g.SettingsChecked(err)
 		}
