cli: a lost reader of the log ends no gateway host

Cause: the Go runtime raises SIGPIPE for a failed write to descriptors 1 and 2 unless the program asks for the signal or ignores it. Hosts ignore it now: the write fails, and the sink counts the line as dropped. Sockets are not concerned; the runtime never raises the signal for them.

--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -25,8 +25,10 @@
 	stop, reload chan os.Signal
 }
 
-// notifyHost starts to handle the signals to a process that runs a host.
+// notifyHost starts to handle the signals to a process that runs a host. From then on a
+// write to a standard stream whose reader has gone fails and does not end the process.
 func notifyHost() hostSignals {
+	signal.Ignore(syscall.SIGPIPE)
 	s := hostSignals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(s.reload, syscall.SIGHUP)
