cli: no stream of its log and no SIGHUP ends or blocks an entry host

What was seen, of `serve`: when the reader of its standard error went away, it ended with SIGPIPE (TestLostReaderOfTheLogEndsNoEntryHost failed, "signal: broken pipe"). When the reader stalled, it never listened: its first event waited for the reader (TestStalledReaderOfTheLogStopsNoHost/serve, no answer in 30 s; the gateway held).

Cause: SIGPIPE had its default; the log was written synchronously, so each goroutine that logs waits for the reader. What the Go server reports itself went to standard error as well, past the log and as synchronously.

Both kinds of hosts now handle signals by the same code, and write through the sink that drops lines and counts them; its package has moved to internal/stdlog. Server errors and echo's logger become events (108). SIGHUP, which was only ignored, checks the settings (106, 107). The encoding of the log's lines is as before.

An error at the exit was written synchronously too, so with a stalled reader a process of either kind never ended (TestInvalidSettingsEndAHostWithAMessage/stalls failed for both, no end in 30 s). It waits a second at most.

--- /dev/null
+++ b/cmd/marigoldmux/ends_test.go
@@ -0,0 +1,174 @@
+package main_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"github.com/marigoldmux/marigoldmux/internal/testaddr"
+)
+
+// prepareServe returns a host of the older front whose platform is away.
+func prepareServe(t *testing.T, log *os.File) *gateway {
+	path, err := program()
+	require.NoError(t, err)
+	g := &gateway{t: t, address: testaddr.Next(), ended: make(chan error, 1), probe: "/v1/hosts", probePort: callersPort}
+	away := "http://" + g.port(deadPort)
+	settings, err := json.Marshal(map[string]any{
+		"host": "host-1", "listen": g.port(callersPort), "availabilityZone": "zone-a", "region": "r",
+		"platform":     map[string]string{"log": away + "/log", "hostList": away + "/list", "cloud": away + "/cloud", "weights": away + "/weights"},
+		"drainTimeout": "8s",
+	})
+	require.NoError(t, err)
+	g.settings = filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(g.settings, settings, 0o600))
+	g.cmd = exec.Command(path, "serve", "-settings", g.settings)
+	g.cmd.Stdout, g.cmd.Stderr = log, log
+	return g
+}
+
+// fronts are the two ways to run a host.
+var fronts = map[string]func(*testing.T, *os.File) *gateway{"gateway": prepareGateway, "serve": prepareServe}
+
+// forEachFront runs a test with a prepared process of each front.
+func forEachFront(t *testing.T, log *os.File, test func(*gateway)) {
+	for name, prepare := range fronts {
+		t.Run(name, func(t *testing.T) { test(prepare(t, log)) })
+	}
+}
+
+// requirePlannedStop asks a process to stop and requires that it does, with exit code 0.
+func (g *gateway) requirePlannedStop() {
+	require.NoError(g.t, g.cmd.Process.Signal(syscall.SIGTERM))
+	g.requireEnd()
+}
+
+// requireEnd requires that the process ends with exit code 0.
+func (g *gateway) requireEnd() {
+	select {
+	case err := <-g.ended:
+		require.NoError(g.t, err)
+	case <-time.After(waitTimeout):
+		require.Fail(g.t, "the process does not end")
+	}
+}
+
+// requireResponses sends requests and requires a response to each.
+func (g *gateway) requireResponses(count int) {
+	client := http.Client{Timeout: waitTimeout}
+	defer client.CloseIdleConnections()
+	for i := range count {
+		resp, err := client.Get("http://" + g.port(callersPort) + "/v1/x")
+		require.NoError(g.t, err, "request %d", i)
+		require.NoError(g.t, resp.Body.Close())
+	}
+}
+
+// fullPipe returns the end for writers of a pipe that takes no further byte until it is read.
+func fullPipe(t *testing.T) *os.File {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = reader.Close(), writer.Close() })
+	size, err := unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize())
+	require.NoError(t, err)
+	_, err = writer.Write(make([]byte, size))
+	require.NoError(t, err)
+	return writer
+}
+
+// The reader of an entry host's log goes away while the host serves.
+func TestLostReaderOfTheLogEndsNoEntryHost(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	g := prepareServe(t, writer)
+	g.start()
+	require.NoError(t, writer.Close())
+	_, err = io.ReadFull(reader, make([]byte, 10))
+	require.NoError(t, err)
+	require.NoError(t, reader.Close())
+	g.awaitAnswers()
+	// Each signal is logged.
+	for range 5 {
+		require.NoError(t, g.cmd.Process.Signal(syscall.SIGHUP))
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.awaitAnswers()
+	g.requirePlannedStop()
+}
+
+// The reader of a host's log stalls from the start on, during requests and at the stop.
+func TestStalledReaderOfTheLogStopsNoHost(t *testing.T) {
+	writer := fullPipe(t)
+	forEachFront(t, writer, func(g *gateway) {
+		g.start()
+		g.awaitAnswers()
+		g.requireResponses(2000)
+		g.requirePlannedStop()
+	})
+}
+
+// An entry host gets SIGHUP at the start and later, as when its log is rotated.
+func TestHangupEndsNoEntryHost(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	defer func() { _ = log.Close() }()
+	g := prepareServe(t, log)
+	g.start()
+	require.Eventually(t, func() bool { return g.expectsSignal(syscall.SIGHUP) }, waitTimeout, 100*time.Microsecond)
+	require.NoError(t, g.cmd.Process.Signal(syscall.SIGHUP))
+	g.awaitAnswers()
+	for range 20 {
+		require.NoError(t, g.cmd.Process.Signal(syscall.SIGHUP))
+		time.Sleep(time.Millisecond)
+	}
+	g.awaitAnswers()
+	g.requirePlannedStop()
+	lines, err := os.ReadFile(log.Name())
+	require.NoError(t, err)
+	// The signal, the check of the settings, and the end of the stop.
+	for _, event := range []string{`"event":107`, `"event":106`, `"event":103`} {
+		require.Contains(t, string(lines), event)
+	}
+}
+
+// Settings that stay invalid end a host with a message, also where nobody reads it.
+func TestInvalidSettingsEndAHostWithAMessage(t *testing.T) {
+	for _, reader := range []string{"reads", "stalls"} {
+		t.Run(reader, func(t *testing.T) {
+			forEachFront(t, nil, func(g *gateway) {
+				require.NoError(g.t, os.WriteFile(g.settings, []byte(`{"host": 1}`), 0o600))
+				messages, err := os.Create(filepath.Join(g.t.TempDir(), "stderr"))
+				require.NoError(g.t, err)
+				defer func() { _ = messages.Close() }()
+				g.cmd.Stderr = messages
+				if reader == "stalls" {
+					writer := fullPipe(g.t)
+					g.cmd.Stderr = writer
+				}
+				g.start()
+				select {
+				case err := <-g.ended:
+					require.EqualError(g.t, err, "exit status 1")
+				case <-time.After(waitTimeout):
+					require.Fail(g.t, "the process does not end")
+				}
+				if reader == "reads" {
+					text, err := os.ReadFile(messages.Name())
+					require.NoError(g.t, err)
+					require.Contains(g.t, string(text), fmt.Sprintf("%s:\n", g.settings))
+					require.Contains(g.t, string(text), "/host")
+				}
+			})
+		})
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/google/subcommands"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/stdlog"
 )
 
 // Register registers all subcommands with the subcommands package.
@@ -31,9 +33,21 @@
 	subcommands.Register(&capacityCommand{}, "measuring")
 }
 
+// Limits on repeated lines of a log: in each second, the first sampleFirst lines of each
+// event are written and then one in sampleEvery.
+const (
+	sampleFirst = 100
+	sampleEvery = 100
+)
+
+// messageTimeout bounds the wait for a reader of standard error that stalls.
+const messageTimeout = time.Second
+
 // fail prints err on standard error and returns the exit code for a failure.
 func fail(err error) subcommands.ExitStatus {
-	_, _ = fmt.Fprintln(os.Stderr, "marigoldmux:", err)
+	sink := stdlog.NewSink(os.Stderr)
+	_, _ = fmt.Fprintln(sink, "marigoldmux:", err)
+	sink.Drain(messageTimeout)
 	return subcommands.ExitFailure
 }
 
@@ -44,23 +58,18 @@
 	return subcommands.ExitUsageError
 }
 
-// newLogger returns a logger that writes JSON lines to standard error. An empty
-// level means info.
-func newLogger(level string) (*event.Logger, error) {
+// newLogger returns a logger that writes JSON lines to a stream. An empty level means
+// info.
+func newLogger(stream zapcore.WriteSyncer, level string) (*event.Logger, error) {
 	parsed := zapcore.InfoLevel
 	if level != "" {
 		if err := parsed.Set(level); err != nil {
 			return nil, err
 		}
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsed)
-	config.DisableCaller = true
-	logger, err := config.Build()
-	if err != nil {
-		return nil, err
-	}
-	return event.NewLogger(logger), nil
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), stream, parsed)
+	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleEvery)
+	return event.NewLogger(zap.New(sampled, zap.AddStacktrace(zapcore.ErrorLevel), zap.ErrorOutput(stream))), nil
 }
 
 // buildVersion returns the version of the main module in the build information,
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/deploy"
 	"github.com/marigoldmux/marigoldmux/internal/dev"
@@ -60,7 +61,7 @@
 	if c.hosts < 1 {
 		return usageError("dev needs at least one host")
 	}
-	events, err := newLogger(c.logLevel)
+	events, err := newLogger(zapcore.Lock(os.Stderr), c.logLevel)
 	if err != nil {
 		return usageError("%v", err)
 	}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -14,7 +14,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/options"
-	"github.com/marigoldmux/marigoldmux/internal/gateway/stdlog"
+	"github.com/marigoldmux/marigoldmux/internal/stdlog"
 	"github.com/marigoldmux/marigoldmux/platform"
 )
 
@@ -60,27 +60,12 @@
 	sink := stdlog.NewSink(os.Stdout)
 	defer sink.Drain(logDrainTimeout)
 	g := gateway.New(o, platform.Ports(o.Log, o.Cloud, o.Host), event.NewLogger(stdlog.Logger(sink, zapcore.InfoLevel)), sink)
-	if err := g.Run(c.follow(signals, g)); err != nil {
+	stopping := signals.follow(g, func() error {
+		_, err := options.Load(c.settings)
+		return err
+	})
+	if err := g.Run(stopping.Done()); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
 }
-
-// follow returns a channel that is closed on the first signal to stop. On others it only
-// loads the settings and reports the result to g: addresses do not change while a process
-// runs.
-func (c *gatewayCommand) follow(signals hostSignals, g *gateway.Gateway) <-chan struct{} {
-	stop := make(chan struct{})
-	go func() {
-		g.SignalReceived(<-signals.stop)
-		close(stop)
-	}()
-	go func() {
-		for s := range signals.reload {
-			g.SignalReceived(s)
-			_, err := options.Load(c.settings)
-			g.SettingsChecked(err)
-		}
-	}()
-	return stop
-}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,8 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -14,6 +12,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/dev"
 	"github.com/marigoldmux/marigoldmux/internal/host"
 	"github.com/marigoldmux/marigoldmux/internal/settings"
+	"github.com/marigoldmux/marigoldmux/internal/stdlog"
 )
 
 type serveCommand struct {
@@ -33,15 +32,18 @@
 	f.StringVar(&c.settings, "settings", "", "the settings `file`, JSON with comments")
 }
 
-func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *serveCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.settings == "" {
 		return usageError("serve needs -settings FILE")
 	}
+	signals := notifyHost()
 	s, err := settings.Load(c.settings)
 	if err != nil {
 		return fail(fmt.Errorf("%s:\n%w", c.settings, err))
 	}
-	events, err := newLogger(s.LogLevel)
+	sink := stdlog.NewSink(os.Stderr)
+	defer sink.Drain(logDrainTimeout)
+	events, err := newLogger(sink, s.LogLevel)
 	if err != nil {
 		return fail(err)
 	}
@@ -53,12 +55,14 @@
 	if err != nil {
 		return fail(err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	stopping := signals.follow(h, func() error {
+		_, err := settings.Load(c.settings)
+		return err
+	})
 	if err := h.Start(nil); err != nil {
 		return fail(err)
 	}
-	h.AwaitLeaving(ctx)
+	h.AwaitLeaving(stopping)
 	if err := h.Stop(context.Background()); err != nil {
 		return fail(err)
 	}
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -34,3 +35,27 @@
 	signal.Notify(s.reload, syscall.SIGHUP)
 	return s
 }
+
+// signalObserver is told about the signals to a process.
+type signalObserver interface {
+	SignalReceived(os.Signal)
+	// SettingsChecked gets the result of a check of the settings file.
+	SettingsChecked(error)
+}
+
+// follow returns a context that is done after the first signal to stop. On others it only
+// checks the settings and reports the result: addresses do not change while a process runs.
+func (s hostSignals) follow(observer signalObserver, checkSettings func() error) context.Context {
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		observer.SignalReceived(<-s.stop)
+		stop()
+	}()
+	go func() {
+		for signal := range s.reload {
+			observer.SignalReceived(signal)
+			observer.SettingsChecked(checkSettings())
+		}
+	}()
+	return ctx
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -3,7 +3,9 @@
 package event
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"sort"
 	"sync"
 
@@ -64,6 +66,24 @@
 // With returns a logger that adds fields to each entry.
 func (l *Logger) With(fields ...zap.Field) *Logger { return NewLogger(l.zap.With(fields...)) }
 
+// Writer returns a writer that writes an entry for each message, for loggers of the
+// standard library and others that write text.
+func (l *Logger) Writer(e *Event, fields ...zap.Field) io.Writer {
+	return messages{logger: l.With(fields...), event: e}
+}
+
+// messages writes an entry for each message.
+type messages struct {
+	logger *Logger
+	event  *Event
+}
+
+// Write implements io.Writer.
+func (m messages) Write(message []byte) (int, error) {
+	m.logger.Emit(m.event, zap.ByteString("message", bytes.TrimSpace(message)))
+	return len(message), nil
+}
+
 // Err returns the field "error" with the text of an error, without the stack
 // trace, which does not help operators. A nil error adds no field.
 func Err(err error) zap.Field {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,11 +36,11 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/quota"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/retry"
-	"github.com/marigoldmux/marigoldmux/internal/gateway/stdlog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/upconn"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/usage"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/view"
+	"github.com/marigoldmux/marigoldmux/internal/stdlog"
 )
 
 // ErrGateway is the root of errors from running a gateway.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log"
@@ -55,23 +54,11 @@
 	s := &listeningServer{name: name, address: address, opened: make(chan struct{})}
 	s.Server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.connections.Record, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
+		ConnState: s.connections.Record, ErrorLog: log.New(g.events.Writer(eventServerError, zap.String("server", name)), "", 0),
 	}
 	return s
 }
 
-// serverErrors turns what an http.Server reports into events.
-type serverErrors struct {
-	events *event.Logger
-	server string
-}
-
-// Write implements io.Writer.
-func (e serverErrors) Write(message []byte) (int, error) {
-	e.events.Emit(eventServerError, zap.String("server", e.server), zap.ByteString("message", bytes.TrimSpace(message)))
-	return len(message), nil
-}
-
 // listen serves on all addresses of the host and returns the socket for the digests of
 // peers. It waits for addresses that are in use until ctx is done, but does not wait for that of
 // the metrics.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,8 +8,10 @@
 	"crypto/tls"
 	"encoding/hex"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -49,6 +51,9 @@
 	eventStopped            = event.Define(103, zapcore.InfoLevel, "host stopped")
 	eventStopFail           = event.Define(104, zapcore.WarnLevel, "module did not stop cleanly")
 	eventDrainIncomplete    = event.Define(105, zapcore.ErrorLevel, "host stopped before all requests had ended")
+	eventReloaded           = event.Define(106, zapcore.InfoLevel, "settings of the host checked")
+	eventSignal             = event.Define(107, zapcore.InfoLevel, "host received a signal")
+	eventServerError        = event.Define(108, zapcore.WarnLevel, "server of the host reports an error")
 	eventBurnHandoverFailed = event.Define(803, zapcore.WarnLevel, "service-level accounts not handed over")
 
 	eventRetireFailed = event.Define(600, zapcore.WarnLevel, "log service did not record the retirement of this host's claims; peers were notified")
@@ -179,6 +184,7 @@
 	h.echo = echo.New()
 	h.echo.HideBanner = true
 	h.echo.HidePort = true
+	h.echo.Logger.SetOutput(h.deps.Events.Writer(eventServerError))
 	app.Routes(h.echo)
 	return nil
 }
@@ -257,7 +263,7 @@
 	if err := h.StartControl(); err != nil {
 		return err
 	}
-	h.server = newServer(h.echo)
+	h.server = newServer(h.echo, log.New(h.deps.Events.Writer(eventServerError), "", 0))
 	h.spawn(func() {
 		if err := h.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			h.deps.Events.Emit(eventStopFail, zap.Error(err))
@@ -266,9 +272,10 @@
 	return nil
 }
 
-// newServer returns the HTTP server of a host.
-func newServer(handler http.Handler) *http.Server {
+// newServer returns the HTTP server of a host, which reports its own errors to errorLog.
+func newServer(handler http.Handler, errorLog *log.Logger) *http.Server {
 	return &http.Server{
+		ErrorLog:          errorLog,
 		Handler:           limits.Handler(handler, limits.Timeouts{Body: bodyTimeout, Write: writeTimeout}),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -329,6 +336,14 @@
 	}
 }
 
+// SignalReceived emits an event about a signal to the process.
+func (h *Host) SignalReceived(signal os.Signal) {
+	h.deps.Events.Emit(eventSignal, zap.Stringer("signal", signal))
+}
+
+// SettingsChecked emits an event about a check of the settings file with the result err.
+func (h *Host) SettingsChecked(err error) { h.deps.Events.Emit(eventReloaded, event.Err(err)) }
+
 // AwaitLeaving waits until this host is leaving, that is, being stopped or under
 // a reclaim notice. It returns false when the context ends first.
 func (h *Host) AwaitLeaving(ctx context.Context) bool {
--- a/internal/gateway/stdlog/stdlog.go
+++ b/internal/stdlog/stdlog.go
@@ -25,9 +25,11 @@
 // Sink queues lines and writes them in the background. It drops lines while the
 // queue is full and counts them.
 type Sink struct {
-	lines   chan []byte
-	dropped atomic.Int64
-	sampled atomic.Int64
+	lines chan []byte
+	// unwritten is the number of lines that are queued or being written.
+	unwritten atomic.Int64
+	dropped   atomic.Int64
+	sampled   atomic.Int64
 }
 
 // NewSink returns a sink that writes to w until the program ends.
@@ -39,6 +41,7 @@
 				// There is nowhere to log a failed write, so it is only counted.
 				s.dropped.Add(1)
 			}
+			s.unwritten.Add(-1)
 		}
 	}()
 	return s
@@ -46,9 +49,11 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (s *Sink) Write(line []byte) (int, error) {
+	s.unwritten.Add(1)
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
+		s.unwritten.Add(-1)
 		s.dropped.Add(1)
 	}
 	return len(line), nil
@@ -64,9 +69,9 @@
 // Sampled returns the number of lines left out by the limits on repeated lines.
 func (s *Sink) Sampled() int64 { return s.sampled.Load() }
 
-// Drain waits until the queue is empty, but no longer than the limit.
+// Drain waits until all lines are written, but no longer than the limit.
 func (s *Sink) Drain(limit time.Duration) {
-	for deadline := time.Now().Add(limit); len(s.lines) > 0 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(limit); s.unwritten.Load() > 0 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
 }
