host: a port in use at the start is waited for by entry hosts too

What was seen: `serve`, started while its port was still in use, ended with exit code 1 at once (TestPortInUseAtTheStartEndsNoEntryHost and TestStopWhileAPortIsInUse/serve failed, exit status 1).

A signal to stop ends the wait, with exit code 0.

--- a/cmd/marigoldmux/ends_test.go
+++ b/cmd/marigoldmux/ends_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -47,6 +48,11 @@
 	}
 }
 
+// awaitHandlers waits until the process handles the signals to stop.
+func (g *gateway) awaitHandlers() {
+	require.Eventually(g.t, func() bool { return g.hasSignal("SigCgt", syscall.SIGTERM) }, waitTimeout, time.Millisecond)
+}
+
 // requirePlannedStop asks a process to stop and requires that it does, with exit code 0.
 func (g *gateway) requirePlannedStop() {
 	require.NoError(g.t, g.cmd.Process.Signal(syscall.SIGTERM))
@@ -141,6 +147,35 @@
 	}
 }
 
+// The port of an entry host is in use at its start, and free later.
+func TestPortInUseAtTheStartEndsNoEntryHost(t *testing.T) {
+	g := prepareServe(t, nil)
+	listener, err := net.Listen("tcp4", g.port(callersPort))
+	require.NoError(t, err)
+	g.start()
+	select {
+	case err := <-g.ended:
+		require.Fail(t, "the process ended", "%v", err)
+	case <-time.After(time.Second):
+	}
+	require.NoError(t, listener.Close())
+	g.awaitAnswers()
+	g.requirePlannedStop()
+}
+
+// A host is asked to stop while it waits for a port.
+func TestStopWhileAPortIsInUse(t *testing.T) {
+	forEachFront(t, nil, func(g *gateway) {
+		listener, err := net.Listen("tcp4", g.port(callersPort))
+		require.NoError(g.t, err)
+		defer func() { _ = listener.Close() }()
+		g.start()
+		g.awaitHandlers()
+		time.Sleep(200 * time.Millisecond)
+		g.requirePlannedStop()
+	})
+}
+
 // Settings that stay invalid end a host with a message, also where nobody reads it.
 func TestInvalidSettingsEndAHostWithAMessage(t *testing.T) {
 	for _, reader := range []string{"reads", "stalls"} {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -59,7 +59,14 @@
 		_, err := settings.Load(c.settings)
 		return err
 	})
-	if err := h.Start(nil); err != nil {
+	listener, err := h.Listen(stopping)
+	if stopping.Err() != nil {
+		return subcommands.ExitSuccess
+	}
+	if err != nil {
+		return fail(err)
+	}
+	if err := h.Start(listener); err != nil {
 		return fail(err)
 	}
 	h.AwaitLeaving(stopping)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
+	"github.com/marigoldmux/marigoldmux/internal/bind"
 	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
@@ -54,6 +55,7 @@
 	eventReloaded           = event.Define(106, zapcore.InfoLevel, "settings of the host checked")
 	eventSignal             = event.Define(107, zapcore.InfoLevel, "host received a signal")
 	eventServerError        = event.Define(108, zapcore.WarnLevel, "server of the host reports an error")
+	eventAddressAwaited     = event.Define(109, zapcore.WarnLevel, "address of the host cannot be used yet")
 	eventBurnHandoverFailed = event.Define(803, zapcore.WarnLevel, "service-level accounts not handed over")
 
 	eventRetireFailed = event.Define(600, zapcore.WarnLevel, "log service did not record the retirement of this host's claims; peers were notified")
@@ -244,15 +246,19 @@
 	}()
 }
 
-// Start starts the host and serves on listener, or on the address in the
-// settings if listener is nil.
-func (h *Host) Start(listener net.Listener) error {
-	if listener == nil {
-		var err error
-		if listener, err = net.Listen("tcp", h.settings.Listen); err != nil {
-			return eris.Wrap(ErrStart, err.Error())
-		}
+// Listen opens the listener of the host. It waits for an address that is in use until ctx
+// is done.
+func (h *Host) Listen(ctx context.Context) (net.Listener, error) {
+	open := func() (net.Listener, error) { return net.Listen("tcp", h.settings.Listen) }
+	listener, err := bind.Retry(ctx, open, func(err error) { h.deps.Events.Emit(eventAddressAwaited, event.Err(err)) })
+	if err != nil {
+		return nil, eris.Wrap(ErrStart, err.Error())
 	}
+	return listener, nil
+}
+
+// Start starts the host and serves on listener.
+func (h *Host) Start(listener net.Listener) error {
 	if s := h.settings.TLS; s != nil {
 		source, err := tlsfiles.Load(tlsfiles.Files{Cert: s.CertFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}, h.deps.Events)
 		if err != nil {
