gateway: an answer is delivered before its connection is closed

What callers saw: a booking ran, and its answer broke off with a reset, seconds before the end of the grace period, when its caller had sent further requests on the connection and read slowly.

Cause: a stopping host closes a connection behind a refusal. The kernel resets a connection that is closed while bytes of its peer are unread, and drops with it what the peer has not received yet, here the rest of earlier answers. A process that ends does the same.

A connection that is closed now ends its sending side, waits until its peer has acknowledged everything, and is closed only then. Unread bytes are not read meanwhile, since a request that was taken would have to be answered. At its end a host waits for the callers as long as its grace period allows; it then discards what is unread, and the kernel delivers the rest.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,7 @@
 	starting := untilClosed(stop)
 	socket, err := g.listen(starting)
 	if err != nil {
-		g.closeServers()
+		g.closeServers(0)
 		if starting.Err() != nil {
 			return nil
 		}
@@ -213,8 +213,8 @@
 	go g.duties.Run(ctx)
 	go g.evictUnlisted(ctx)
 	<-stop
-	g.drain()
-	g.closeServers()
+	end := g.drain()
+	g.closeServers(end)
 	cancel()
 	if err := socket.Close(); err != nil {
 		g.events.Emit(eventStopped, event.Err(err))
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -17,7 +17,9 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/marigoldmux/marigoldmux/internal/bind"
+	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/connstate"
+	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 )
@@ -45,7 +47,7 @@
 	// opened is closed when the server listens and listener is set, or when it failed to
 	// and err is.
 	opened   chan struct{}
-	listener net.Listener
+	listener *delivery.Listener
 	err      error
 }
 
@@ -101,7 +103,10 @@
 
 // serve listens and serves until the server is closed.
 func (g *Gateway) serve(ctx context.Context, server *listeningServer) {
-	open := func() (net.Listener, error) { return net.Listen("tcp4", server.address) }
+	open := func() (*delivery.Listener, error) {
+		listener, err := net.Listen("tcp4", server.address)
+		return delivery.NewListener(listener), err
+	}
 	server.listener, server.err = retryBind(ctx, g, server.name, open)
 	close(server.opened)
 	if server.err != nil {
@@ -139,8 +144,9 @@
 
 // closeServers ends all servers such that the connections that the kernel has
 // accepted for them are served: each takes no new connections, accepts those that
-// wait, and then finishes its requests within closeTimeout.
-func (g *Gateway) closeServers() {
+// wait, and then finishes its requests within closeTimeout. What was written reaches the
+// callers, if they read it before the boot time deliverUntil.
+func (g *Gateway) closeServers(deliverUntil time.Duration) {
 	for _, server := range g.servers {
 		server.refuseConnections()
 	}
@@ -161,6 +167,18 @@
 		})
 	}
 	closing.Wait()
+	for _, server := range g.servers {
+		server.awaitDelivery(deliverUntil)
+	}
+}
+
+// awaitDelivery waits until callers have received what was written to them.
+func (s *listeningServer) awaitDelivery(until time.Duration) {
+	select {
+	case <-s.opened:
+		s.listener.Finish(until - boottime.Now())
+	default:
+	}
 }
 
 // refuseConnections shrinks the queue of connections that wait to be accepted: one
@@ -171,7 +189,7 @@
 	default:
 		return
 	}
-	tcp, ok := s.listener.(*net.TCPListener)
+	tcp, ok := s.listener.Listener.(*net.TCPListener)
 	if !ok {
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,8 +43,8 @@
 const evictInterval = time.Second
 
 // drain stops accepting streams, later all requests, and returns when no request is in
-// progress or the grace period is nearly over.
-func (g *Gateway) drain() {
+// progress or the grace period is nearly over. It returns the boot time of the latter.
+func (g *Gateway) drain() time.Duration {
 	now := boottime.Now()
 	grace := g.options.GracePeriod.D()
 	g.events.Emit(eventStopping, zap.Int64("active", g.forward.Active()), zap.Duration("grace", grace))
@@ -63,6 +63,7 @@
 		time.Sleep(activeCheckInterval)
 	}
 	g.forward.End()
+	return end
 }
 
 // unused reports whether callers have ceased to use a host that stops since stopAt.
