gateway: a stopping host waits until its answers are written to the end

What callers saw: a caller that had sent many requests on a connection read the answers late.

Cause: a host counts the requests in its handler, but the server writes the end of an answer, up to some KB, after that. When none is counted the servers have 0.3 s to close. Also, the Go server takes a connection for idle while it handles a request that it read together with the one before, and closes such connections on shutdown at once.

The drain now waits for connections whose request has reached the handler and whose answer isn't written to its end.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -38,6 +38,9 @@
 	closeTimeout = 300 * time.Millisecond
 )
 
+// callersServer is the index of the server for callers among those of a host.
+const callersServer = 0
+
 // listeningServer is a server with its listener.
 type listeningServer struct {
 	*http.Server
@@ -56,8 +59,8 @@
 func (g *Gateway) newServer(name, address string, handler http.Handler) *listeningServer {
 	s := &listeningServer{name: name, address: address, opened: make(chan struct{})}
 	s.Server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.connections.Record, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
+		Handler: s.connections.Track(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.connections.Record, ConnContext: connstate.ConnContext, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
 	}
 	return s
 }
