cmd: tests of signals in series and of poor surroundings

Both kinds of hosts hold: SIGHUP in series from the start to the end; SIGHUP, SIGTERM, SIGINT and SIGPIPE in series before they are ready and in the drain; no variables, no temporary folder, a full device as log, closed standard streams, a limit of 24 descriptors. Each run ends by a planned stop, with exit code 0.

SIGTERM and SIGINT before their handlers, some milliseconds after the start, still end a process by the signal. It has accepted nothing then.

--- a/cmd/marigoldmux/ends_test.go
+++ b/cmd/marigoldmux/ends_test.go
@@ -41,10 +41,13 @@
 // fronts are the two ways to run a host.
 var fronts = map[string]func(*testing.T, *os.File) *gateway{"gateway": prepareGateway, "serve": prepareServe}
 
-// forEachFront runs a test with a prepared process of each front.
+// forEachFront runs a test with a prepared process of each front, both at once.
 func forEachFront(t *testing.T, log *os.File, test func(*gateway)) {
 	for name, prepare := range fronts {
-		t.Run(name, func(t *testing.T) { test(prepare(t, log)) })
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(prepare(t, log))
+		})
 	}
 }
 
@@ -69,6 +72,24 @@
 	}
 }
 
+// requireEndUnder sends signals all the time and requires that the process ends with exit
+// code 0.
+func (g *gateway) requireEndUnder(signals ...syscall.Signal) {
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); {
+		for _, s := range signals {
+			// The process may have ended.
+			_ = g.cmd.Process.Signal(s)
+		}
+		select {
+		case err := <-g.ended:
+			require.NoError(g.t, err)
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	require.Fail(g.t, "the process does not end")
+}
+
 // requireResponses sends requests and requires a response to each.
 func (g *gateway) requireResponses(count int) {
 	client := http.Client{Timeout: waitTimeout}
@@ -176,10 +197,81 @@
 	})
 }
 
+// SIGHUP comes in series from the start on, until a host stops.
+func TestSeriesOfHangupsEndNoHost(t *testing.T) {
+	forEachFront(t, nil, func(g *gateway) {
+		g.start()
+		require.Eventually(g.t, func() bool { return g.expectsSignal(syscall.SIGHUP) }, waitTimeout, 100*time.Microsecond)
+		for range 1000 {
+			require.NoError(g.t, g.cmd.Process.Signal(syscall.SIGHUP))
+			time.Sleep(time.Millisecond)
+		}
+		g.awaitAnswers()
+		require.NoError(g.t, g.cmd.Process.Signal(syscall.SIGTERM))
+		g.requireEndUnder(syscall.SIGHUP)
+	})
+}
+
+// Signals of all kinds come in series at a moment of a host's life, until it has ended.
+func TestSeriesOfSignalsEndAHostAsPlanned(t *testing.T) {
+	moments := map[string]func(*gateway){
+		"not ready": (*gateway).awaitAnswers,
+		"in the drain": func(g *gateway) {
+			g.awaitAnswers()
+			require.NoError(g.t, g.cmd.Process.Signal(syscall.SIGTERM))
+			time.Sleep(100 * time.Millisecond)
+		},
+	}
+	for name, await := range moments {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forEachFront(t, nil, func(g *gateway) {
+				g.start()
+				await(g)
+				g.requireEndUnder(syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGPIPE)
+			})
+		})
+	}
+}
+
+// A host runs with poor surroundings: no variables, an unusable temporary folder, standard
+// streams that are closed or whose device is full.
+func TestPoorSurroundingsEndNoHost(t *testing.T) {
+	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = full.Close() })
+	surroundings := map[string]func(*exec.Cmd){
+		"no variables":        func(c *exec.Cmd) { c.Env = []string{} },
+		"no temporary folder": func(c *exec.Cmd) { c.Env = []string{"TMPDIR=/proc/no-such-folder", "HOME=/proc/no-such-folder"} },
+		"full device":         func(c *exec.Cmd) { c.Stdout, c.Stderr = full, full },
+		"closed streams":      func(c *exec.Cmd) { runByShell(c, `exec "$@" 0<&- 1>&- 2>&-`) },
+		"few descriptors":     func(c *exec.Cmd) { runByShell(c, `ulimit -n 24; exec "$@"`) },
+	}
+	for name, change := range surroundings {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forEachFront(t, nil, func(g *gateway) {
+				change(g.cmd)
+				g.start()
+				g.awaitAnswers()
+				g.requireResponses(50)
+				g.requirePlannedStop()
+			})
+		})
+	}
+}
+
+// runByShell lets a command run by a script of the shell, which gets it as its arguments.
+func runByShell(c *exec.Cmd, script string) {
+	c.Args = append([]string{"sh", "-c", script, "sh"}, c.Args...)
+	c.Path = "/bin/sh"
+}
+
 // Settings that stay invalid end a host with a message, also where nobody reads it.
 func TestInvalidSettingsEndAHostWithAMessage(t *testing.T) {
 	for _, reader := range []string{"reads", "stalls"} {
 		t.Run(reader, func(t *testing.T) {
+			t.Parallel()
 			forEachFront(t, nil, func(g *gateway) {
 				require.NoError(g.t, os.WriteFile(g.settings, []byte(`{"host": 1}`), 0o600))
 				messages, err := os.Create(filepath.Join(g.t.TempDir(), "stderr"))
@@ -187,8 +279,7 @@
 				defer func() { _ = messages.Close() }()
 				g.cmd.Stderr = messages
 				if reader == "stalls" {
-					writer := fullPipe(g.t)
-					g.cmd.Stderr = writer
+					g.cmd.Stderr = fullPipe(g.t)
 				}
 				g.start()
 				select {
