cli: settings that are being replaced at the start end no host

What was seen: a host of either kind, started while its settings file was missing, empty or half-written, ended with exit code 1 at once (TestSettingsThatAreBeingReplacedEndNoHost failed in all six cases).

A signal to stop ends the wait, with exit code 0 (TestStopWhileSettingsAreInvalid).

--- a/cmd/marigoldmux/ends_test.go
+++ b/cmd/marigoldmux/ends_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -197,6 +198,39 @@
 	})
 }
 
+// The settings of a host are missing or cut short at its start, as while they are replaced.
+func TestSettingsThatAreBeingReplacedEndNoHost(t *testing.T) {
+	for _, partial := range []string{"missing", "empty", "half"} {
+		t.Run(partial, func(t *testing.T) {
+			t.Parallel()
+			forEachFront(t, nil, func(g *gateway) {
+				whole, err := os.ReadFile(g.settings)
+				require.NoError(g.t, err)
+				switch partial {
+				case "missing":
+					require.NoError(g.t, os.Remove(g.settings))
+				case "empty":
+					require.NoError(g.t, os.WriteFile(g.settings, nil, 0o600))
+				case "half":
+					require.NoError(g.t, os.WriteFile(g.settings, whole[:len(whole)/2], 0o600))
+				}
+				reader, writer, err := os.Pipe()
+				require.NoError(g.t, err)
+				g.cmd.Stderr = writer
+				g.start()
+				require.NoError(g.t, writer.Close())
+				line, err := bufio.NewReader(reader).ReadString('\n')
+				require.NoError(g.t, err)
+				require.Contains(g.t, line, g.settings)
+				require.NoError(g.t, reader.Close())
+				require.NoError(g.t, os.WriteFile(g.settings, whole, 0o600))
+				g.awaitAnswers()
+				g.requirePlannedStop()
+			})
+		})
+	}
+}
+
 // SIGHUP comes in series from the start on, until a host stops.
 func TestSeriesOfHangupsEndNoHost(t *testing.T) {
 	forEachFront(t, nil, func(g *gateway) {
@@ -212,6 +246,17 @@
 	})
 }
 
+// A host is asked to stop while it waits for valid settings.
+func TestStopWhileSettingsAreInvalid(t *testing.T) {
+	forEachFront(t, nil, func(g *gateway) {
+		require.NoError(g.t, os.Remove(g.settings))
+		g.start()
+		g.awaitHandlers()
+		time.Sleep(200 * time.Millisecond)
+		g.requirePlannedStop()
+	})
+}
+
 // Signals of all kinds come in series at a moment of a host's life, until it has ended.
 func TestSeriesOfSignalsEndAHostAsPlanned(t *testing.T) {
 	moments := map[string]func(*gateway){
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
 	"runtime/debug"
 	"time"
@@ -49,9 +48,9 @@
 
 func (c *gatewayCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	signals := notifyHost()
-	o, err := options.Load(c.settings)
+	o, err := loadSettings(signals, c.settings, options.Load)
 	if err != nil {
-		return fail(fmt.Errorf("%s:\n%w", c.settings, err))
+		return startFailed(err)
 	}
 	debug.SetGCPercent(gcPercent)
 	if o.MemoryMB > 0 {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -37,9 +37,9 @@
 		return usageError("serve needs -settings FILE")
 	}
 	signals := notifyHost()
-	s, err := settings.Load(c.settings)
+	s, err := loadSettings(signals, c.settings, settings.Load)
 	if err != nil {
-		return fail(fmt.Errorf("%s:\n%w", c.settings, err))
+		return startFailed(err)
 	}
 	sink := stdlog.NewSink(os.Stderr)
 	defer sink.Drain(logDrainTimeout)
