event: reports of libraries block no host

What was seen: while the reader of standard error stalled, one odd answer of the platform blocked all calls of a host to it, in both kinds of hosts: bytes on an idle connection, about which the HTTP client of the standard library reports (TestReportsOfLibrariesBlockNoHost: fewer than 30 calls in 30 s, then none).

Cause: it reports with the default logger of package log, which writes to standard error synchronously, and holds the lock of its connection pool meanwhile. echo's logger writes to standard output in the same way.

Both are events now (934), through the sink that never blocks.

--- a/cmd/marigoldmux/ends_test.go
+++ b/cmd/marigoldmux/ends_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -343,3 +344,32 @@
 		})
 	}
 }
+
+// A platform sends bytes that nobody asked for on idle connections, about which a library
+// reports, while the reader of the host's log stalls.
+func TestReportsOfLibrariesBlockNoHost(t *testing.T) {
+	forEachFront(t, fullPipe(t), func(g *gateway) {
+		listener, err := net.Listen("tcp4", g.port(deadPort))
+		require.NoError(g.t, err)
+		g.t.Cleanup(func() { _ = listener.Close() })
+		var requests atomic.Int64
+		server := &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			requests.Add(1)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			time.AfterFunc(10*time.Millisecond, func() {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+				_ = conn.Close()
+			})
+		})}
+		go func() { _ = server.Serve(listener) }()
+		g.start()
+		g.awaitAnswers()
+		require.Eventually(g.t, func() bool { return requests.Load() > 30 }, waitTimeout, 10*time.Millisecond)
+		g.requireResponses(100)
+		g.requirePlannedStop()
+	})
+}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -58,7 +58,9 @@
 	}
 	sink := stdlog.NewSink(os.Stdout)
 	defer sink.Drain(logDrainTimeout)
-	g := gateway.New(o, platform.Ports(o.Log, o.Cloud, o.Host), event.NewLogger(stdlog.Logger(sink, zapcore.InfoLevel)), sink)
+	events := event.NewLogger(stdlog.Logger(sink, zapcore.InfoLevel))
+	events.CaptureReports()
+	g := gateway.New(o, platform.Ports(o.Log, o.Cloud, o.Host), events, sink)
 	stopping := signals.follow(g, func() error {
 		_, err := options.Load(c.settings)
 		return err
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	events.CaptureReports()
 	deps, err := dev.Dependencies(s, events, uint64(time.Now().UnixNano()))
 	if err != nil {
 		return fail(err)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log"
 	"sort"
 	"sync"
 
@@ -72,6 +73,16 @@
 	return messages{logger: l.With(fields...), event: e}
 }
 
+// eventLibrary is what a library reports that has no logger of its own.
+var eventLibrary = Define(934, zapcore.WarnLevel, "library reports a problem")
+
+// CaptureReports writes what libraries report with the default logger of package log as
+// entries. The default is to write them to standard error, and to wait for its reader.
+func (l *Logger) CaptureReports() {
+	log.SetFlags(0)
+	log.SetOutput(l.Writer(eventLibrary))
+}
+
 // messages writes an entry for each message.
 type messages struct {
 	logger *Logger
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"log"
 	"net/http"
 	"os"
 	"runtime"
@@ -169,6 +170,7 @@
 	vars := expvar.NewMap("gateway")
 	vars.Set(g.options.Host, expvar.Func(g.metrics))
 	e := echo.New()
+	e.Logger.SetOutput(log.Writer())
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 	return e
 }
