bind: a connection that cannot be accepted ends no listener

A failed accept that the standard library doesn't take for a temporary error, such as ENOBUFS, ENOMEM or an error of the connection itself, ended the server of a port; the process went on without it, with one line in its log. Only descriptors that ran out were survived. Shown with a listener that fails three times (TestFailedAcceptEndsNoServer failed: connection reset); not seen on a real one.

Listeners of both kinds of hosts now mark every error but that of a closed listener as temporary, after which the server tries again. The test passes.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -95,7 +95,7 @@
 		g.events.Emit(eventLost, zap.String("dependency", "address of "+server.name), event.Err(server.err))
 		return
 	}
-	if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(bind.KeepAccepting(server.listener)); !errors.Is(err, http.ErrServerClosed) {
 		g.events.Emit(eventLost, zap.String("dependency", "listener "+server.address), event.Err(err))
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -259,6 +259,7 @@
 
 // Start starts the host and serves on listener.
 func (h *Host) Start(listener net.Listener) error {
+	listener = bind.KeepAccepting(listener)
 	if s := h.settings.TLS; s != nil {
 		source, err := tlsfiles.Load(tlsfiles.Files{Cert: s.CertFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}, h.deps.Events)
 		if err != nil {
