gateway: connections take bounded descriptors and memory of heads

What callers saw: 3,800 connections with heads of 60 KB that come bit by bit took 303 MB at each of the five ports, and 1,000 connections with short header lines some 570 MB, with 284 MB in the settings: a host is ended for it. Connections that are only kept (one request, then idle) took all descriptors: with a limit of 400, 250 kept connections at each port left none for sound callers, readiness or the log for 30 s and more. Descriptors and heads were bounded for each connection, not over all.

Package connlimit wraps the listeners of the host. Of the descriptors two of three are for accepted connections, with a part reserved for each port. A full port closes the connection that was idle longest, never one with a request in progress or bytes that wait; if none is idle, a head that has been arriving for 0.3 s, which gets 503 with Retry-After; else the new connection waits. A request that was read together with the one before it is not passed on once its connection was closed. Heads beyond 8 KB for each connection share an eighth of the memory and count from their first byte until their response, a line as 256 bytes besides its own: a header line of 10 bytes takes far more than those. A head may take as much as it leaves free, so the longest yield. Reads stop at the end of a head and of a body of known length, so that the next head counts from its beginning and bodies count as none.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/connlimit"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/capacity"
@@ -62,6 +63,7 @@
 	eventSignal        = event.Define(931, zapcore.InfoLevel, "signal received")
 	eventServerError   = event.Define(932, zapcore.WarnLevel, "server reports an error")
 	eventCut           = event.Define(933, zapcore.WarnLevel, "connections in use were closed")
+	eventCrowded       = event.Define(937, zapcore.WarnLevel, "connections made room for others")
 )
 
 // Feed reads and writes the log. It reads the operators' changes and the
@@ -139,6 +141,8 @@
 	// sourceChanged is closed and replaced when source changes.
 	sourceChanged atomic.Pointer[chan struct{}]
 
+	// gate bounds the connections of all listeners.
+	gate *connlimit.Gate
 	// servers are the servers of all listeners, set before the first of them serves.
 	servers  []*listeningServer
 	stopping atomic.Bool
@@ -153,7 +157,7 @@
 // New returns a gateway that is not running yet.
 func New(o *options.Options, ports Ports, events *event.Logger, sink *stdlog.Sink) *Gateway {
 	g := &Gateway{
-		options: o, ports: ports, events: events, sink: sink,
+		options: o, ports: ports, events: events, sink: sink, gate: connlimit.NewGate(connlimit.Accepted(), headBytes(o.MemoryMB)),
 		incarnation: rand.Uint64()>>12 | 1, startedAt: boottime.Now(),
 		peerAddress: net.JoinHostPort(o.Address, strconv.Itoa(o.PeerPort)),
 		pool:        upconn.NewPool(), quota: quota.NewLimiter(o.QuotaTolerance.Limits()), cold: cold.NewLimiter(o.Host, boottime.Now()),
@@ -212,6 +216,7 @@
 	go g.sendDigests(ctx, socket)
 	go g.duties.Run(ctx)
 	go g.evictUnlisted(ctx)
+	go g.reportCrowding(ctx)
 	<-stop
 	g.drain()
 	g.closeServers()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/marigoldmux/marigoldmux/internal/bind"
+	"github.com/marigoldmux/marigoldmux/internal/connlimit"
 	"github.com/marigoldmux/marigoldmux/internal/connstate"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
@@ -54,12 +55,32 @@
 func (g *Gateway) newServer(name, address string, handler http.Handler) *listeningServer {
 	s := &listeningServer{name: name, address: address, opened: make(chan struct{})}
 	s.Server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.connections.Record, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
+		Handler: connlimit.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.connectionChanged, ConnContext: connlimit.ConnContext, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
 	}
 	return s
 }
 
+// connectionChanged serves as ConnState of the server.
+func (s *listeningServer) connectionChanged(conn net.Conn, state http.ConnState) {
+	connlimit.ConnState(conn, state)
+	s.connections.Record(conn, state)
+}
+
+// reservedParts says for each listener which part of all connections that the host may accept
+// is reserved for it: one of so many. Any listener may use the rest.
+var reservedParts = map[string]int{"callers": 4, "directory": 8, "peers": 16, "readiness": 32, "metrics": 32}
+
+// headBytes returns the memory that the heads of requests share, of a host with memoryMB,
+// 0 if that has no bound.
+func headBytes(memoryMB int) int {
+	const part, unbounded = 8, 512
+	if memoryMB == 0 {
+		memoryMB = unbounded
+	}
+	return memoryMB << 20 / part
+}
+
 // serverErrors turns what an http.Server reports into events.
 type serverErrors struct {
 	events *event.Logger
@@ -108,7 +129,8 @@
 		g.events.Emit(eventLost, zap.String("dependency", "address of "+server.name), event.Err(server.err))
 		return
 	}
-	if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+	bounded := g.gate.Listen(server.listener, connlimit.Accepted()/reservedParts[server.name], connlimit.Plain)
+	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		g.events.Emit(eventLost, zap.String("dependency", "listener "+server.address), event.Err(err))
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -42,6 +42,9 @@
 // dropped.
 const evictInterval = time.Second
 
+// crowdingInterval is the shortest time between two events about crowded listeners.
+const crowdingInterval = time.Second
+
 // drain stops accepting streams, later all requests, and returns when no request is in
 // progress or the grace period is nearly over.
 func (g *Gateway) drain() {
@@ -97,6 +100,30 @@
 	}
 }
 
+// reportCrowding emits an event for each interval in which connections were closed, or heads
+// refused, for lack of room.
+func (g *Gateway) reportCrowding(ctx context.Context) {
+	var before crowding
+	ticker := time.NewTicker(crowdingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := crowding{g.gate.ClosedIdle(), g.gate.RefusedHeads()}
+		if now != before {
+			g.events.Emit(eventCrowded, zap.Int64("closedIdle", now.closedIdle-before.closedIdle),
+				zap.Int64("refusedHeads", now.refusedHeads-before.refusedHeads))
+		}
+		before = now
+	}
+}
+
+// crowding counts what connections have yielded to others.
+type crowding struct{ closedIdle, refusedHeads int64 }
+
 // SignalReceived emits an event about a signal to the process.
 func (g *Gateway) SignalReceived(signal os.Signal) {
 	g.events.Emit(eventSignal, zap.Stringer("signal", signal))
@@ -121,6 +148,7 @@
 	HeapBytes, ResidentBytes            uint64
 	Goroutines                          int
 	Connections                         map[string]int
+	ClosedIdle, RefusedHeads            int64
 	LatencyMs                           map[string]map[string]float64
 }
 
@@ -139,7 +167,7 @@
 		ConfigAgeMs: (now - s.View.ConfirmedAt).Milliseconds(), ListAgeMs: (now - s.View.ListedAt).Milliseconds(),
 		Peers: len(s.Peers), Holders: s.SenderCount, DutyToken: token,
 		HeapBytes: memory.HeapAlloc, ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(),
-		Connections: map[string]int{}, LatencyMs: g.stats.LatencyQuantiles(),
+		Connections: map[string]int{}, ClosedIdle: g.gate.ClosedIdle(), RefusedHeads: g.gate.RefusedHeads(), LatencyMs: g.stats.LatencyQuantiles(),
 	}
 	if s.View.Document != nil {
 		m.ConfigVersion = s.View.Document.Version
