--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -17,6 +17,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/bind"
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/connlimit"
 	"github.com/marigoldmux/marigoldmux/internal/connstate"
 	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/event"
@@ -58,13 +59,33 @@
 func (g *Gateway) newServer(name, address string, handler http.Handler) *listeningServer {
 	s := &listeningServer{name: name, address: address, opened: make(chan struct{})}
 	s.Server = &http.Server{
-		Handler: s.connections.Track(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.connections.Record, ConnContext: connstate.ConnContext,
+		Handler: connlimit.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.connectionChanged, ConnContext: connlimit.ConnContext,
 		ErrorLog: log.New(g.events.Writer(eventServerError, zap.String("server", name)), "", 0),
 	}
 	return s
 }
 
+// connectionChanged serves as ConnState of the server.
+func (s *listeningServer) connectionChanged(conn net.Conn, state http.ConnState) {
+	connlimit.ConnState(conn, state)
+	s.connections.Record(conn, state)
+}
+
+// reservedParts says for each listener which part of all connections that the host may accept
+// is reserved for it: one of so many. Any listener may use the rest.
+var reservedParts = map[string]int{"callers": 4, "directory": 8, "peers": 16, "readiness": 32, "metrics": 32}
+
+// headBytes returns the memory that the heads of requests share, of a host with memoryMB,
+// 0 if that has no bound.
+func headBytes(memoryMB int) int {
+	const part, unbounded = 8, 512
+	if memoryMB == 0 {
+		memoryMB = unbounded
+	}
+	return memoryMB << 20 / part
+}
+
 // listen serves on all addresses of the host and returns the socket for the digests of
 // peers. It waits for addresses that are in use until ctx is done, but does not wait for that of
 // the metrics.
@@ -104,7 +125,8 @@
 		g.events.Emit(eventLost, zap.String("dependency", "address of "+server.name), event.Err(server.err))
 		return
 	}
-	if err := server.Serve(bind.KeepAccepting(server.listener)); !errors.Is(err, http.ErrServerClosed) {
+	bounded := g.gate.Listen(server.listener, connlimit.Accepted()/reservedParts[server.name], connlimit.Plain)
+	if err := server.Serve(bind.KeepAccepting(bounded)); !errors.Is(err, http.ErrServerClosed) {
 		g.events.Emit(eventLost, zap.String("dependency", "listener "+server.address), event.Err(err))
 	}
 }
