forward: an answer without a length is whole only if its upstream outlives it

Callers got streams and bodies with neither a length nor chunks that ended as complete although their upstream had been taken away in the middle: its process ended, which closes its connections as the end of an answer does.

Cause: the end counted as whole if the upstream was leaving, whatever became of it, or if it did not refuse connections at once. But a leaving upstream is taken away with its streams too; the kernel closes the sockets of a process one by one, the listener often last (with 1,000 connections it accepted for up to 87 ms more, 280 of 400 checks, load 18); and a proxy accepts connections to an upstream that is gone. An end of a connection shows nothing about the answer.

Now there must be a sign that the process went on to run: it accepts a connection and keeps it for 150 ms, or accepts one then. A reset of the first is no sign, since an upstream at its limit of connections resets new ones. Without the sign the answer is broken off, or resumed where it may be; also at a leaving upstream. Answers without a length end 150 ms later for it; their latency is taken before. An answer to HEAD ends with its head and is not checked.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -284,18 +284,18 @@
 	}
 	a.inFlight.Received(boottime.Now())
 	body, err := a.newBuffers(a.member.ID).ReadAll(resp.Body, maxResponseBytes)
+	latency, extraLatency := boottime.Now()-a.sentAt, a.extraLatency()
 	switch {
 	case err != nil:
 	case a.holdsStray(resp, body):
 		err = errStrayInBody
 	case !a.endsWhole(resp):
-		err = errCrashedAtEnd
+		err = errEndUnproven
 	}
 	if err != nil {
 		return false, a.errorOutcome(err)
 	}
 	a.countUsage(a.wallSentAt)
-	latency := boottime.Now() - a.sentAt
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	if a.headerSent {
 		// The caller already has events of the stream, so an error response cannot
@@ -307,7 +307,6 @@
 		return true, outcome{disposition: failed, reason: "upstream failed: " + resp.Status, latency: latency}
 	}
 	a.runs++
-	extraLatency := a.extraLatency()
 	a.writeResponse(buffered)
 	return true, outcome{
 		disposition: finished, extraLatency: extraLatency, latency: latency,
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -89,7 +90,7 @@
 		case errors.Is(readErr, io.EOF) && r.endsWhole(r.resp):
 			return r.finish()
 		case errors.Is(readErr, io.EOF):
-			return false, r.streamErrorOutcome(errCrashedAtEnd)
+			return false, r.streamErrorOutcome(errEndUnproven)
 		case readErr != nil:
 			return false, r.streamErrorOutcome(readErr)
 		}
@@ -126,10 +127,10 @@
 	return err
 }
 
-// delimited reports whether the body of a response has an explicit end, so that
-// a closed connection is not taken for it.
+// delimited reports whether a response has an explicit end, so that a closed connection
+// is not taken for it.
 func delimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
 var errStrayInBody = errors.New("another response stands in a response without a length")
@@ -144,13 +145,20 @@
 	return !delimited(resp) && a.conn.Reused() && statusLine.Match(part)
 }
 
-var errCrashedAtEnd = errors.New("upstream refuses connections behind a response without a length")
+var errEndUnproven = errors.New("upstream does not outlive its response without a length")
 
 // endsWhole reports whether a response that was read to its end is whole. The connection
-// of an upstream that crashes ends like a body without a length, so it is not if the
-// upstream refuses connections, unless it leaves.
+// of an upstream that has crashed or was taken away ends like a body without a length, so
+// the upstream must still run some time later, also if it leaves.
 func (a *attempt) endsWhole(resp *http.Response) bool {
-	return delimited(resp) || a.departing(a.member) || !upconn.Refuses(a.member.Address)
+	if delimited(resp) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(a.r.Context(), a.deadline-boottime.Now())
+	defer cancel()
+	stop := context.AfterFunc(a.h.ending, cancel)
+	defer stop()
+	return upconn.Outlives(ctx, a.member.Address)
 }
 
 // readEvent appends one event to pending, up to and including the empty line that ends it.
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -11,7 +11,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -179,10 +178,6 @@
 	return nil
 }
 
-// Refuses reports whether an upstream refuses connections, as it does when its process
-// has ended. One that cannot be reached does not.
-func Refuses(address string) bool { return errors.Is(probe(address), syscall.ECONNREFUSED) }
-
 // probe opens and closes a connection.
 func probe(address string) error {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
