forward: a closed idle connection does not exclude the only upstream

A lookup, or a stream that may be resumed, ended with 502 "no upstream" when the only upstream that it may use closed an idle connection while the request was on its way: the upstream counted as tried.

Now an upstream whose reused connection ends without a byte of an answer may be tried once more, on a new connection, if there is no other. A request that must not run twice still is not sent again: that the connection ended does not show that the request was not read.

--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -146,7 +146,10 @@
 	// attempted holds the IDs of the upstreams of earlier attempts. attempts
 	// counts the attempts, sends those that got a connection, and runs those in
 	// which the upstream may have run the request.
-	attempted             map[string]bool
+	attempted map[string]bool
+	// closedIdle is the ID of an upstream of an earlier attempt that may only have closed
+	// an idle connection; it is tried again if there is no other.
+	closedIdle            string
 	attempts, sends, runs int
 	// retryReserved is set when the next send is already counted against the
 	// retry budget.
--- a/internal/gateway/forward/outcome.go
+++ b/internal/gateway/forward/outcome.go
@@ -32,6 +32,9 @@
 	// when the attempt ended without a complete response for another reason than
 	// a time-out.
 	unresponsive, responseLost bool
+	// closedIdle is set when a connection that was idle before ended without a byte: the
+	// upstream may have closed it while the request was on its way.
+	closedIdle bool
 	// sentAt is the time of day of the send of an attempt whose response was lost.
 	sentAt time.Time
 	// extraLatency is how much later than half of the route's latency target the
@@ -67,8 +70,10 @@
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return outcome{disposition: unknown, reason: "no answer in time"}
 	}
+	unresponsive := errors.Is(err, errUnresponsive)
 	return outcome{
-		disposition: unknown, reason: err.Error(), unresponsive: errors.Is(err, errUnresponsive),
+		disposition: unknown, reason: err.Error(), unresponsive: unresponsive,
+		closedIdle:   !unresponsive && a.conn.Reused() && !a.conn.Received(),
 		responseLost: true, sentAt: a.wallSentAt, answering: a.answering,
 	}
 }
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
@@ -134,7 +135,7 @@
 	var members []*catalog.Member
 	var pause time.Duration
 	for _, m := range view.Members[p.service] {
-		if m.Draining || view.ExcludedZones[m.Zone] || p.attempted[m.ID] {
+		if m.Draining || view.ExcludedZones[m.Zone] || p.attempted[m.ID] && m.ID != p.closedIdle {
 			continue
 		}
 		state := p.h.Advisories.State(m, now)
@@ -147,6 +148,9 @@
 	if rollout, ok := view.Rollouts[p.service]; ok {
 		members = p.filterByVersion(members, rollout.Target)
 	}
+	if len(members) > 1 {
+		members = slices.DeleteFunc(members, func(m *catalog.Member) bool { return m.ID == p.closedIdle })
+	}
 	return members, pause
 }
 
@@ -221,6 +225,10 @@
 		p.runs++
 	}
 	p.attempted[m.ID] = true
+	p.closedIdle = ""
+	if result.closedIdle {
+		p.closedIdle = m.ID
+	}
 	p.failure = result.reason
 }
 
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -61,6 +61,8 @@
 	// headBounded is set.
 	headLeft    int
 	headBounded bool
+	// received is set when a byte was read since the latest request was written.
+	received bool
 	// idleLimit is how long the connection may be idle before it is closed, and
 	// idleSince the boot time at which it became idle.
 	idleLimit time.Duration
@@ -149,6 +151,7 @@
 	for {
 		n, err := c.Conn.Read(b)
 		c.headLeft -= n
+		c.received = c.received || n > 0
 		if n > 0 || c.OnReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -275,9 +278,13 @@
 // Reused reports whether the connection has carried an earlier request.
 func (c *Conn) Reused() bool { return c.idleSince > 0 }
 
+// Received reports whether a byte was read since the latest request was written.
+func (c *Conn) Received() bool { return c.received }
+
 // Write sends a request. The header must not contain Host, Content-Length or
 // connection headers. It returns the number of bytes handed to the kernel.
 func (c *Conn) Write(method, target, host string, header http.Header, body []byte) (int, error) {
+	c.received = false
 	buf := make([]byte, 0, 512+len(body))
 	buf = append(buf, method...)
 	buf = append(buf, ' ')
