--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -11,7 +11,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,6 +61,8 @@
 	// headBounded is set.
 	headLeft    int
 	headBounded bool
+	// received is set when a byte was read since the latest request was written.
+	received bool
 	// idleLimit is how long the connection may be idle before it is closed, and
 	// idleSince the boot time at which it became idle.
 	idleLimit time.Duration
@@ -150,6 +151,7 @@
 	for {
 		n, err := c.Conn.Read(b)
 		c.headLeft -= n
+		c.received = c.received || n > 0
 		if n > 0 || c.OnReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -179,10 +181,6 @@
 	return nil
 }
 
-// Refuses reports whether an upstream refuses connections, as it does when its process
-// has ended. One that cannot be reached does not.
-func Refuses(address string) bool { return errors.Is(probe(address), syscall.ECONNREFUSED) }
-
 // probe opens and closes a connection.
 func probe(address string) error {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -280,9 +278,13 @@
 // Reused reports whether the connection has carried an earlier request.
 func (c *Conn) Reused() bool { return c.idleSince > 0 }
 
+// Received reports whether a byte was read since the latest request was written.
+func (c *Conn) Received() bool { return c.received }
+
 // Write sends a request. The header must not contain Host, Content-Length or
 // connection headers. It returns the number of bytes handed to the kernel.
 func (c *Conn) Write(method, target, host string, header http.Header, body []byte) (int, error) {
+	c.received = false
 	buf := make([]byte, 0, 512+len(body))
 	buf = append(buf, method...)
 	buf = append(buf, ' ')
