gateway: a stopping host waits until its answers are written to the end

What callers saw: a caller that had sent many requests on a connection read the answers late.

Cause: a host counted the requests in its handler, but the server writes the end of an answer, up to some KB, after the handler has returned. When none was counted the servers had 0.3 s to close, whatever was left of the grace period.

The drain now waits for the connections that the server takes for busy: from a request's head to the end of its answer.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -38,6 +38,9 @@
 	closeTimeout = 300 * time.Millisecond
 )
 
+// callersServer is the index of the server for callers among those of a host.
+const callersServer = 0
+
 // listeningServer is a server with its listener.
 type listeningServer struct {
 	*http.Server
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -42,8 +42,8 @@
 // dropped.
 const evictInterval = time.Second
 
-// drain stops accepting streams, later all requests, and returns when no request is in
-// progress or the grace period is nearly over. It returns the boot time of the latter.
+// drain stops accepting streams, later all requests, and returns when all responses are
+// written or the grace period is nearly over. It returns the boot time of the latter.
 func (g *Gateway) drain() time.Duration {
 	now := boottime.Now()
 	grace := g.options.GracePeriod.D()
@@ -59,13 +59,17 @@
 	// Until the process ends there is no time for further requests.
 	limits.StreamsUntil, limits.OthersUntil = 0, 0
 	g.forward.Stop(limits)
-	for boottime.Now() < end && g.forward.Active() > 0 {
+	for boottime.Now() < end && g.answering() {
 		time.Sleep(activeCheckInterval)
 	}
 	g.forward.End()
 	return end
 }
 
+// answering reports whether a caller's request has no complete response yet. The server
+// writes the end of a response after the handler has returned.
+func (g *Gateway) answering() bool { return g.servers[callersServer].connections.Busy() > 0 }
+
 // unused reports whether callers have ceased to use a host that stops since stopAt.
 func (g *Gateway) unused(stopAt time.Duration) bool {
 	now := boottime.Now()
