host: an answer is delivered before its connection is closed, in the older front too

What callers saw: a caller sent two bookings on a connection and read the answers late; the first had run when its host was stopped, and its answer broke off after about 5 of 7.3 MB, with most of the drain timeout left.

The server closes the connection behind the first answer with the second booking unread, and the kernel resets it and drops what the caller has not received.

The older front uses the same listener as the gateway, and waits for its callers until the drain timeout.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/entry"
@@ -103,6 +104,7 @@
 	peer       peerv1connect.PeerServiceHandler
 	echo       *echo.Echo
 	server     *http.Server
+	listener   *delivery.Listener
 	cancel     context.CancelFunc
 	work       sync.WaitGroup
 }
@@ -247,6 +249,8 @@
 			return eris.Wrap(ErrStart, err.Error())
 		}
 	}
+	h.listener = delivery.NewListener(listener)
+	listener = h.listener
 	if s := h.settings.TLS; s != nil {
 		source, err := tlsfiles.Load(tlsfiles.Files{Cert: s.CertFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}, h.deps.Events)
 		if err != nil {
@@ -317,6 +321,9 @@
 		err = errors.Join(err, h.server.Shutdown(ctx))
 	}
 	h.Kill()
+	if h.listener != nil {
+		h.listener.Finish(time.Until(deadline))
+	}
 	h.deps.Events.Emit(eventStopped)
 	return err
 }
