--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
 	"github.com/marigoldmux/marigoldmux/internal/control"
+	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
 	"github.com/marigoldmux/marigoldmux/internal/entry"
@@ -110,6 +111,7 @@
 	peer       peerv1connect.PeerServiceHandler
 	echo       *echo.Echo
 	server     *http.Server
+	listener   *delivery.Listener
 	cancel     context.CancelFunc
 	work       sync.WaitGroup
 }
@@ -259,7 +261,8 @@
 
 // Start starts the host and serves on listener.
 func (h *Host) Start(listener net.Listener) error {
-	listener = bind.KeepAccepting(listener)
+	h.listener = delivery.NewListener(bind.KeepAccepting(listener))
+	listener = h.listener
 	if s := h.settings.TLS; s != nil {
 		source, err := tlsfiles.Load(tlsfiles.Files{Cert: s.CertFile, Key: s.KeyFile, PeerCA: s.PeerCAFile}, h.deps.Events)
 		if err != nil {
@@ -331,6 +334,9 @@
 		err = errors.Join(err, h.server.Shutdown(ctx))
 	}
 	h.Kill()
+	if h.listener != nil {
+		h.listener.Finish(time.Until(deadline))
+	}
 	h.deps.Events.Emit(eventStopped)
 	return err
 }
