connlimit: a new connection does not yield before its request can arrive

Cause: a connection that was just accepted counts as idle, and was the only idle one, so it yielded at once to the next connection, also to one at another port.

An idle connection now yields only when it has been idle for 0.3 s, as a head does.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -52,9 +52,10 @@
 	bodyLeft int64
 	// The gate's lock guards the rest.
 	state state
-	// arrivingSince is when the current head began to arrive.
-	arrivingSince time.Time
-	element       *list.Element
+	// idleSince is when the connection became idle, and arrivingSince when the current head
+	// began to arrive.
+	idleSince, arrivingSince time.Time
+	element                  *list.Element
 	// head is what the head of the current request takes.
 	head headUse
 	// multiplexed is set for HTTP/2.
@@ -231,6 +232,7 @@
 	c.state, c.element = to, nil
 	switch to {
 	case idle:
+		c.idleSince = time.Now()
 		c.element = l.idle.PushBack(c)
 	case arriving:
 		c.arrivingSince = time.Now()
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// yieldAfter is the time from which an idle connection yields to a new one. On a new
+	// connection, or one behind a response, a request may be on its way.
+	yieldAfter = 300 * time.Millisecond
 	// slowHeadAfter is the time from which a head that is still arriving yields to a new
 	// connection at a listener that is full and has no idle connection.
 	slowHeadAfter = 300 * time.Millisecond
@@ -190,12 +193,16 @@
 	return victim
 }
 
-// idleLongest returns the connection that was idle longest and of which the kernel holds no
-// bytes. The gate is locked.
+// idleLongest returns the connection that was idle longest, if it may yield and the kernel
+// holds no bytes of it. The gate is locked.
 func (l *Listener) idleLongest() *Conn {
 	looks := 0
 	for e := l.idle.Front(); e != nil && looks < maxLooks; e = e.Next() {
-		if c := e.Value.(*Conn); !c.hasUnread() {
+		c := e.Value.(*Conn)
+		if time.Since(c.idleSince) < yieldAfter {
+			return nil
+		}
+		if !c.hasUnread() {
 			return c
 		}
 		looks++
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -409,3 +409,18 @@
 		})
 	}
 }
+
+// A caller has connected to a full listener, and its request is on its way when others connect.
+func TestNewConnectionDoesNotYieldBeforeItsRequestCanArrive(t *testing.T) {
+	s := serve(t, NewGate(1, 0), 1, ok)
+	s.dial()
+	s.awaitOpen(1, 1)
+	l := s.listener
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	first := l.idle.Front().Value.(*Conn)
+	first.idleSince = time.Now().Add(time.Minute)
+	require.Nil(t, l.idleLongest())
+	first.idleSince = time.Now().Add(-yieldAfter)
+	require.Equal(t, first, l.idleLongest())
+}
