host: connections to the older front take bounded descriptors and memory

What callers saw: 3,800 connections with heads of 60 KB took 405 MB, 1,000 with short header lines 695 MB, and 600 that announced a frame of 1 MB over HTTP/2 and sent half of it 612 MB (a buffer of the announced length for each connection). With 400 descriptors and 800 kept connections, the health check got no answer within 30 s. The four tests failed so on the code before.

The listener of the older front is bounded as those of a gateway, below TLS where that is on: there lines cannot be counted, so bytes cost ten times as much. The heads of streams over HTTP/2 count where their handler begins, and frames have 16 KB at most, the least that the protocol allows. Now 133, 74 and 42 MB, with 4,100 descriptors in the first two and 20,000 in the third, and the health check is answered beside the flood (0.2 s for the test).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/api/peer/v1/peerv1connect"
 	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
+	"github.com/marigoldmux/marigoldmux/internal/connlimit"
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
 	"github.com/marigoldmux/marigoldmux/internal/dispatch"
@@ -62,7 +63,11 @@
 	writeTimeout        = 30 * time.Second
 	idleTimeout         = 2 * time.Minute
 	// maxHeader bounds the header of an HTTP request, in bytes.
-	maxHeader        = 64 << 10
+	maxHeader = 64 << 10
+	// headMemory is the memory that the headers of all requests share, in bytes.
+	headMemory = 32 << 20
+	// maxFrame bounds an HTTP/2 frame, in bytes: each connection has a buffer for one.
+	maxFrame         = 16 << 10
 	incarnationBytes = 6
 )
 
@@ -252,7 +257,9 @@
 		if err != nil {
 			return err
 		}
-		listener = tls.NewListener(listener, source.Server())
+		listener = tls.NewListener(h.bound(listener, connlimit.Encrypted), source.Server())
+	} else {
+		listener = h.bound(listener, connlimit.Plain)
 	}
 	if err := h.StartControl(); err != nil {
 		return err
@@ -266,14 +273,23 @@
 	return nil
 }
 
+// bound bounds the connections of the host's listener.
+func (h *Host) bound(listener net.Listener, encryption connlimit.Encryption) net.Listener {
+	connections := connlimit.Accepted()
+	return connlimit.NewGate(connections, headMemory).Listen(listener, connections, encryption)
+}
+
 // newServer returns the HTTP server of a host.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           limits.Handler(handler, limits.Timeouts{Body: bodyTimeout, Write: writeTimeout}),
+		Handler:           connlimit.Handler(limits.Handler(handler, limits.Timeouts{Body: bodyTimeout, Write: writeTimeout})),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		Protocols:         protocols(),
+		HTTP2:             &http.HTTP2Config{MaxReadFrameSize: maxFrame},
+		ConnState:         connlimit.ConnState,
+		ConnContext:       connlimit.ConnContext,
 	}
 }
 
