--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/bind"
 	"github.com/marigoldmux/marigoldmux/internal/burn"
 	"github.com/marigoldmux/marigoldmux/internal/claim"
+	"github.com/marigoldmux/marigoldmux/internal/connlimit"
 	"github.com/marigoldmux/marigoldmux/internal/control"
 	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/dial"
@@ -70,7 +71,11 @@
 	writeTimeout        = 30 * time.Second
 	idleTimeout         = 2 * time.Minute
 	// maxHeader bounds the header of an HTTP request, in bytes.
-	maxHeader        = 64 << 10
+	maxHeader = 64 << 10
+	// headMemory is the memory that the headers of all requests share, in bytes.
+	headMemory = 32 << 20
+	// maxFrame bounds an HTTP/2 frame, in bytes: each connection has a buffer for one.
+	maxFrame         = 16 << 10
 	incarnationBytes = 6
 )
 
@@ -268,7 +273,9 @@
 		if err != nil {
 			return err
 		}
-		listener = tls.NewListener(listener, source.Server())
+		listener = tls.NewListener(h.bound(listener, connlimit.Encrypted), source.Server())
+	} else {
+		listener = h.bound(listener, connlimit.Plain)
 	}
 	if err := h.StartControl(); err != nil {
 		return err
@@ -282,15 +289,24 @@
 	return nil
 }
 
+// bound bounds the connections of the host's listener.
+func (h *Host) bound(listener net.Listener, encryption connlimit.Encryption) net.Listener {
+	connections := connlimit.Accepted()
+	return connlimit.NewGate(connections, headMemory).Listen(listener, connections, encryption)
+}
+
 // newServer returns the HTTP server of a host, which reports its own errors to errorLog.
 func newServer(handler http.Handler, errorLog *log.Logger) *http.Server {
 	return &http.Server{
 		ErrorLog:          errorLog,
-		Handler:           limits.Handler(handler, limits.Timeouts{Body: bodyTimeout, Write: writeTimeout}),
+		Handler:           connlimit.Handler(limits.Handler(handler, limits.Timeouts{Body: bodyTimeout, Write: writeTimeout})),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		Protocols:         protocols(),
+		HTTP2:             &http.HTTP2Config{MaxReadFrameSize: maxFrame},
+		ConnState:         connlimit.ConnState,
+		ConnContext:       connlimit.ConnContext,
 	}
 }
 
