gateway: the answers of a stopping host close their connection

What callers saw: a host that is stopped said "Connection: close" only in refusals. Callers went on using their connections until it closed them, so that the last request of each met the close; callers that had sent several requests at once lost those behind a refusal.

Cause: the header was set when a request arrived, and removed again with the headers of the upstream that concern one connection.

It is now set when an answer begins, also that of a request from before the stop. An answer behind which the caller has already sent more does not close: package pipeline hands out the bytes of one request at a time and so knows of the next.

--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -187,9 +187,6 @@
 	defer p.releaseBuffers()
 	p.boundWrites(call.Arrived + defaultTimeout)
 	h.lastRequestAt.Store(int64(call.Arrived))
-	if stop := h.stopping.Load(); stop != nil {
-		w.Header().Set("Connection", "close")
-	}
 	if err != nil {
 		p.refuse(http.StatusBadRequest, "malformed", 0)
 		return
--- a/internal/gateway/forward/response.go
+++ b/internal/gateway/forward/response.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/pipeline"
 )
 
 // Retry-After durations of refused requests.
@@ -51,6 +52,16 @@
 	}
 }
 
+// writeHeader sends the header of the response. While the host stops, it says that the
+// connection is closed, so that the caller sends its next request elsewhere; requests that
+// it has already sent are answered first.
+func (p *proxyRequest) writeHeader(status int) {
+	if p.h.stopping.Load() != nil && !pipeline.More(p.r) {
+		p.w.Header().Set("Connection", "close")
+	}
+	p.w.WriteHeader(status)
+}
+
 // writeResponse sends a buffered response of an upstream to the caller. It
 // replaces a status that implies that the request did not run by 502, since the
 // upstream did not say so.
@@ -61,7 +72,7 @@
 	}
 	p.h.Codec.CopyResponseHeader(p.w.Header(), resp.header)
 	suppressDefaultHeaders(p.w.Header())
-	p.w.WriteHeader(resp.status)
+	p.writeHeader(resp.status)
 	if _, err := p.w.Write(resp.body); err != nil {
 		p.log(eventCallerGone, resp.status, err.Error())
 		return
@@ -82,7 +93,7 @@
 func (p *proxyRequest) refuse(status int, reason string, retryAfter time.Duration) {
 	p.h.Codec.WriteRefusal(p.w.Header(), p.call, retryAfter)
 	p.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	p.w.WriteHeader(status)
+	p.writeHeader(status)
 	if _, err := p.w.Write([]byte(reason + "\n")); err != nil {
 		reason += "; caller gone: " + err.Error()
 	}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -283,7 +283,7 @@
 	r.headerSent = true
 	r.h.Codec.CopyResponseHeader(r.w.Header(), r.resp.Header)
 	suppressDefaultHeaders(r.w.Header())
-	r.w.WriteHeader(r.resp.StatusCode)
+	r.writeHeader(r.resp.StatusCode)
 }
 
 // finish ends a stream whose body was read to its end.
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
+	"github.com/marigoldmux/marigoldmux/internal/pipeline"
 )
 
 // Limits of callers' connections. The configuration's limits are stricter.
@@ -59,12 +60,18 @@
 func (g *Gateway) newServer(name, address string, handler http.Handler) *listeningServer {
 	s := &listeningServer{name: name, address: address, opened: make(chan struct{})}
 	s.Server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.connections.Record, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
+		Handler: pipeline.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: pipeline.Context, ConnState: s.recordState, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
 	}
 	return s
 }
 
+// recordState serves as ConnState of the server.
+func (s *listeningServer) recordState(conn net.Conn, state http.ConnState) {
+	s.connections.Record(conn, state)
+	pipeline.Record(conn, state)
+}
+
 // serverErrors turns what an http.Server reports into events.
 type serverErrors struct {
 	events *event.Logger
@@ -116,7 +123,7 @@
 		g.events.Emit(eventLost, zap.String("dependency", "address of "+server.name), event.Err(server.err))
 		return
 	}
-	if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(pipeline.Listener{Listener: server.listener}); !errors.Is(err, http.ErrServerClosed) {
 		g.events.Emit(eventLost, zap.String("dependency", "listener "+server.address), event.Err(err))
 	}
 }
