--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -45,11 +45,17 @@
 	// HTTP/2, whose heads the handler counts.
 	passing atomic.Bool
 	// scan finds the end of the current head, ahead is what was read beyond it, and bodyLeft
-	// is what is still to be read of the body, not above 0 if that is not known. The server
-	// does not read and change the state at the same time.
-	scan     headScan
-	ahead    []byte
-	bodyLeft int64
+	// is what is still to be read of the body, below 0 if that is not known. The server does
+	// not read and change the state at the same time.
+	scan  headScan
+	ahead []byte
+	// headRead is set when the current head was read to its end.
+	headRead bool
+	bodyLeft atomic.Int64
+	// held is the length of ahead, and behind is set when a byte behind the current request
+	// was handed out. The handler reads them while the server reads on.
+	held   atomic.Int64
+	behind atomic.Bool
 	// The gate's lock guards the rest.
 	state state
 	// idleSince is when the connection became idle, and arrivingSince when the current head
@@ -83,19 +89,36 @@
 	}
 	if used < n {
 		c.ahead = append(bytes.Clone(p[used:n]), c.ahead...)
+		c.held.Store(int64(len(c.ahead)))
 	}
 	return used, err
 }
 
 func (c *Conn) readBody(p []byte) (int, error) {
-	if c.bodyLeft > 0 {
-		p = p[:min(int64(len(p)), c.bodyLeft)]
+	left := c.bodyLeft.Load()
+	if left > 0 {
+		p = p[:min(int64(len(p)), left)]
 	}
 	n, err := c.take(p)
-	c.bodyLeft -= int64(n)
+	switch {
+	case left > 0:
+		c.bodyLeft.Store(left - int64(n))
+	case left == 0 && n > 0:
+		c.behind.Store(true)
+	}
 	return n, err
 }
 
+// hasMore reports whether bytes behind the current request have arrived. It returns false
+// if that is not known: before the request was read to its end, if the length of its body is
+// not known, and on encrypted connections.
+func (c *Conn) hasMore() bool {
+	if c.listener.encryption == Encrypted || c.bodyLeft.Load() != 0 {
+		return false
+	}
+	return c.behind.Load() || c.held.Load() > 0 || c.hasUnread()
+}
+
 // take returns what was read ahead, or else reads from the connection.
 func (c *Conn) take(p []byte) (int, error) {
 	if len(c.ahead) == 0 {
@@ -106,6 +129,7 @@
 	if len(c.ahead) == 0 {
 		c.ahead = nil
 	}
+	c.held.Store(int64(len(c.ahead)))
 	return n, nil
 }
 
@@ -128,7 +152,13 @@
 	}
 	n, lines := len(piece), 0
 	if c.listener.encryption == Plain {
-		n, lines = c.scan.next(piece)
+		if c.headRead {
+			// The server looks for the end of the connection while it handles a request.
+			c.behind.Store(true)
+		}
+		var ended bool
+		n, lines, ended = c.scan.next(piece)
+		c.headRead = c.headRead || ended
 	}
 	if !g.heads.grow(&c.head, costOf(n, lines, c.listener.encryption)) {
 		return 0, errNoMemory
@@ -158,7 +188,7 @@
 	}
 	if !multiplexed {
 		c.move(busy)
-		c.bodyLeft = bodyBytes
+		c.bodyLeft.Store(bodyBytes)
 		c.passing.Store(true)
 		return true
 	}
@@ -195,6 +225,8 @@
 		c.move(arriving)
 	}
 	c.passing.Store(c.multiplexed)
+	c.headRead = false
+	c.behind.Store(false)
 	c.listener.signalRoom()
 }
 
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -315,9 +315,10 @@
 	for _, text := range []string{"GET / HTTP/1.1\r\nA: b\r\n\r\n", "GET / HTTP/1.1\nA: b\n\n", "G\r\n\r\n", "\r\nA\r\r\n\r\n"} {
 		for first := range len(text) {
 			var scan headScan
-			n, lines := scan.next([]byte(text[:first]))
+			n, lines, _ := scan.next([]byte(text[:first]))
 			require.Equal(t, first, n)
-			n, more := scan.next([]byte(text[first:] + "x\n\n"))
+			n, more, ended := scan.next([]byte(text[first:] + "x\n\n"))
+			require.True(t, ended)
 			require.Equal(t, len(text)-first, n, "%q", text)
 			require.Equal(t, strings.Count(text, "\n"), lines+more)
 		}
--- a/internal/connlimit/server.go
+++ b/internal/connlimit/server.go
@@ -42,6 +42,13 @@
 	return ctx
 }
 
+// More reports whether the caller of a request over HTTP/1 has sent something behind it, as
+// far as that is known.
+func More(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	return ok && r.ProtoMajor == 1 && c.hasMore()
+}
+
 // Handler returns a handler that marks the end of a request's head and calls next.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
