duty: a ledger that is far behind takes no memory without end

The platform ends it for its memory, and the next holder in turn. The clock of a former holder that was wrong at its start, or an odd record, is enough.

Cause: FinalizeReports made a report for each window since, some 900 million from 1970, and kept the newest four. It now begins at these. firstUnsettled counted windows back one by one and is a division now.

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -376,13 +376,9 @@
 // firstUnsettled returns the first window whose counts may still change. It waits
 // longer while some hosts send no digests.
 func (d *Driver) firstUnsettled(s *control.Snapshot, wall time.Time) int64 {
-	window := d.Usage.Window(wall)
 	wait := settleDelay
 	if len(s.Peers)+1 < s.SenderCount {
 		wait = maxSettleDelay
 	}
-	for wall.Before(d.Usage.WindowEnd(window - 1).Add(wait)) {
-		window--
-	}
-	return window
+	return d.Usage.Window(wall.Add(-wait))
 }
--- a/internal/gateway/duty/ledger.go
+++ b/internal/gateway/duty/ledger.go
@@ -213,9 +213,11 @@
 }
 
 // FinalizeReports returns the ledger with the reports of all windows before the given
-// one, which sum the counts of processes. Only the newest reports are kept.
+// one, which sum the counts of processes. Only the newest reports are kept; it passes over
+// windows further back, of which there are many after a clock was wrong.
 func (l Ledger) FinalizeReports(before int64) Ledger {
 	next := l.clone()
+	next.NextWindow = max(next.NextWindow, before-maxReports)
 	for ; next.NextWindow < before; next.NextWindow++ {
 		total := Counts{}
 		for _, counts := range next.OpenCounts[next.NextWindow] {
@@ -231,5 +233,6 @@
 			delete(next.Reports, window)
 		}
 	}
+	maps.DeleteFunc(next.OpenCounts, func(window int64, _ map[uint64]Counts) bool { return window < next.NextWindow })
 	return next
 }
