quota: an extreme quota is forgotten soon after it is corrected

Cause: the debt that the wrong quota had left was kept. With each new configuration it is now bounded by two bursts and the rate of a minute. No sound quota lets customers owe that much: a request needs at least half of what it takes, or a quarter of the burst.

--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -119,6 +119,28 @@
 	return r.value * max(1-chanceDeviations/math.Sqrt(r.uses), 0)
 }
 
+// What a bucket owes when a new configuration takes effect is bounded by maxDebtBursts and
+// the rate in maxDebtTime, far more than a sound quota lets customers owe: what was taken
+// by a quota that was wrong does not outlast it for long.
+const (
+	maxDebtBursts = 2
+	maxDebtTime   = time.Minute
+)
+
+// boundDebt forgets what a bucket owes beyond the largest debt. It also replaces values that
+// are not numbers.
+func (b *bucket) boundDebt() {
+	debt := max(maxDebtBursts*b.burst+b.rate*maxDebtTime.Seconds(), 0)
+	if !(b.level >= -debt) {
+		b.level = -debt
+	}
+	for _, recent := range []*decayedRate{&b.ownRate, &b.peerRate} {
+		if !(recent.value <= debt) {
+			recent.value = debt
+		}
+	}
+}
+
 // addPeerUse takes an amount that a peer has used.
 func (b *bucket) addPeerUse(amount float64, now time.Duration) {
 	b.level -= amount
@@ -200,8 +222,8 @@
 	l.propagationDelay, l.peerCount = delay, peers
 }
 
-// SetCustomers makes the limiter follow what peers use of these quotas, also before
-// this host has a request of the customer.
+// SetCustomers sets the quotas of a new configuration. The limiter follows what peers use
+// of them, also before this host has a request of the customer.
 //
 // Load pattern: a customer with a small quota sends requests to two hundred hosts. If
 // each host began to count at its first request, each would admit that one.
@@ -210,7 +232,8 @@
 	defer l.mu.Unlock()
 	for i := range customers {
 		if customers[i].Rate > 0 {
-			l.bucket(&customers[i], now)
+			b, _ := l.bucket(&customers[i], now)
+			b.boundDebt()
 		}
 	}
 }
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -399,3 +399,27 @@
 	}
 	require.LessOrEqual(t, taken, 500.0)
 }
+
+// A configuration holds an extreme quota by mistake, and the next one a sound one.
+func TestExtremeQuotaIsForgottenWithTheNextOne(t *testing.T) {
+	const rate, burst, refilled = 100, 500, 2 * time.Minute
+	extremes := []float64{-math.MaxFloat64, -1e18, 0, 1e-9, 1e18, math.MaxFloat64}
+	for _, wrongRate := range extremes {
+		for _, wrongBurst := range extremes {
+			for _, amount := range extremes {
+				wrong := catalog.Customer{Name: "c", Rate: wrongRate, Burst: wrongBurst}
+				sound := catalog.Customer{Name: "c", Rate: rate, Burst: burst}
+				l := quota.NewLimiter(quota.Tolerance{})
+				l.SetPropagationDelay(time.Second, 90)
+				l.SetCustomers([]catalog.Customer{wrong}, time.Second)
+				for range 3 {
+					l.Take(&wrong, amount, 2*time.Second)
+					l.ChargeRetry(&wrong, amount, 2*time.Second)
+				}
+				l.SetCustomers([]catalog.Customer{sound}, 3*time.Second)
+				taken, wait := l.Take(&sound, 1, 3*time.Second+refilled)
+				require.True(t, taken, "rate %g, burst %g, amount %g: wait %v", wrongRate, wrongBurst, amount, wait)
+			}
+		}
+	}
+}
