dispatch: calls that must run at most once open a connection each

Bookings of the older front ended with the outcome "unknown" although they had never reached their upstream: it closed the idle connection while the call was on its way, and nothing may be sent again on a connection that was made.

Cause: connections stay open for 30 s, whatever the upstream does with idle ones, and the end of one shows nothing about what was sent on it. So the call must not be sent on such a connection to begin with.

TestCallThatMustRunOnceIsNotLostWithAnIdleConnection fails before.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -25,7 +25,9 @@
 // HTTP is a Dialer of HTTP clients. It keeps one client of each kind per address.
 type HTTP struct {
 	client *http.Client
-	peer   *http.Client
+	// singleUse reuses no connections.
+	singleUse *http.Client
+	peer      *http.Client
 	// peerScheme is "https" if peers use TLS, else "http".
 	peerScheme string
 	options    []connect.ClientOption
@@ -44,6 +46,7 @@
 func NewHTTP(options ...connect.ClientOption) *HTTP {
 	return &HTTP{
 		client:     httpjson.NewClient(),
+		singleUse:  httpjson.NewSingleUseClient(),
 		peer:       httpjson.NewPeerClient(),
 		peerScheme: "http",
 		options:    options,
@@ -68,7 +71,9 @@
 
 // Plain implements Dialer.
 func (d *HTTP) Plain(address string) plain.Service {
-	return cached(d, d.plains, address, func() plain.Service { return plain.NewClient("http://"+address, d.client, d.bodies) })
+	return cached(d, d.plains, address, func() plain.Service {
+		return plain.NewClient("http://"+address, d.client, d.singleUse, d.bodies)
+	})
 }
 
 // Peer implements Dialer.
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -41,6 +41,7 @@
 		RequestID: fmt.Sprintf("%s/%d", call.Request.ID, call.Request.Attempts),
 		Route:     call.Request.Route,
 		Body:      call.Request.Body,
+		Once:      !call.route.Idempotent,
 	})
 	d.reportAttempt(a, err)
 	if upstream.KindOf(err) == upstream.Mismatched && err != nil {
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -68,6 +68,14 @@
 // responses.
 func NewCompressingClient() *http.Client { return newClient(true) }
 
+// NewSingleUseClient returns a client like NewClient that opens a connection for each
+// request.
+func NewSingleUseClient() *http.Client {
+	client := newClient(false)
+	client.Transport.(*http.Transport).DisableKeepAlives = true
+	return client
+}
+
 // NewPeerClient returns a client like NewClient that uses HTTP/2 without TLS. The
 // header compression of HTTP/2 keeps small calls small.
 func NewPeerClient() *http.Client {
--- a/internal/upstream/plain/plain.go
+++ b/internal/upstream/plain/plain.go
@@ -34,6 +34,8 @@
 	RequestID string
 	Route     string
 	Body      []byte
+	// Once is set if the upstream must run the call at most once.
+	Once bool
 }
 
 // Response is a response of a plain service.
@@ -51,17 +53,19 @@
 
 // Client is a Service that is reached over HTTP.
 type Client struct {
-	base   string
-	http   *http.Client
-	memory *bodybuf.Memory
+	base      string
+	http      *http.Client
+	singleUse *http.Client
+	memory    *bodybuf.Memory
 }
 
 var _ Service = (*Client)(nil)
 
 // NewClient returns a client of the plain service at a base URL, which reads bodies into the
-// given memory.
-func NewClient(base string, client *http.Client, memory *bodybuf.Memory) *Client {
-	return &Client{base: base, http: client, memory: memory}
+// given memory. Calls that must run at most once are sent with singleUse, which reuses no
+// connections: an upstream may close one that is idle while the call is on its way.
+func NewClient(base string, client, singleUse *http.Client, memory *bodybuf.Memory) *Client {
+	return &Client{base: base, http: client, singleUse: singleUse, memory: memory}
 }
 
 // Call implements Service.
@@ -73,7 +77,11 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, call.RequestID)
-	resp, err := httpjson.Send(c.http, req)
+	client := c.http
+	if call.Once {
+		client = c.singleUse
+	}
+	resp, err := httpjson.Send(client, req)
 	if err != nil {
 		return Response{}, classify(err, call.RequestID)
 	}
--- a/internal/upstream/plain/plain_test.go
+++ b/internal/upstream/plain/plain_test.go
@@ -78,7 +78,7 @@
 // connection after its response, since it does not know yet that the request was
 // written.
 func (f *flakyUpstream) callTwice(t *testing.T) (plain.Response, error) {
-	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
+	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient(), httpjson.NewSingleUseClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
 	call := plain.Call{RequestID: "r/1", Route: "book", Body: []byte(`{"for": "Ana"}`)}
 	idle := false
 	for try := 0; !idle && try < maxWarmUps; try++ {
@@ -169,7 +169,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	client := plain.NewClient("http://"+address, httpjson.NewClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
+	client := plain.NewClient("http://"+address, httpjson.NewClient(), httpjson.NewSingleUseClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
 	_, err = client.Call(context.Background(), plain.Call{RequestID: "r/1", Route: "book"})
 	require.Equal(t, upstream.NotSent, upstream.KindOf(err))
 }
@@ -229,7 +229,27 @@
 		readRequest(bufio.NewReader(conn))
 		_, _ = io.WriteString(conn, refusals["no ID"])
 	})
-	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
+	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient(), httpjson.NewSingleUseClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
 	_, err := client.Call(context.Background(), plain.Call{RequestID: "r/1", Route: "book"})
 	require.Equal(t, upstream.Refused, upstream.KindOf(err), "%v", err)
 }
+
+// TestCallThatMustRunOnceIsNotLostWithAnIdleConnection checks that such a call is not sent on a
+// connection that the upstream may be closing, after which it would be unknown whether it ran.
+func TestCallThatMustRunOnceIsNotLostWithAnIdleConnection(t *testing.T) {
+	f := startFlakyUpstream(t, func(f *flakyUpstream, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if !warm(reader, conn) {
+			return
+		}
+		if _, err := reader.Peek(1); err == nil {
+			f.received.Add(1)
+		}
+	})
+	client := plain.NewClient("http://"+f.listener.Addr().String(), httpjson.NewClient(), httpjson.NewSingleUseClient(), bodybuf.NewMemory(plain.MaxBufferedBytes))
+	for range 10 {
+		_, err := client.Call(context.Background(), plain.Call{RequestID: "r/1", Route: "book", Once: true})
+		require.NoError(t, err)
+	}
+	require.Zero(t, f.received.Load())
+}
