--- a/cmd/marigoldmux/flood_test.go
+++ b/cmd/marigoldmux/flood_test.go
@@ -88,7 +88,7 @@
 func prepareEntryHost(t *testing.T) *gateway {
 	path, err := program()
 	require.NoError(t, err)
-	g := &gateway{t: t, address: testaddr.Next(), ended: make(chan error, 1)}
+	g := &gateway{t: t, address: testaddr.Next(), ended: make(chan error, 1), probe: "/", probePort: readinessPort}
 	dead := "http://" + g.port(deadPort)
 	settings, err := json.Marshal(map[string]any{
 		"host": "host-1", "listen": g.port(readinessPort), "availabilityZone": "zone-a", "region": "r", "logLevel": "error",
