gateway: a stream that breaks off looks incomplete to callers of HTTP/1.0 too

What callers saw: a stream that its upstream had cut in the middle of an event ended for a caller of HTTP/1.0 like a whole one, after two of five events and with a regular end of the connection. The same happens to streams that are broken off at the end of a stop.

Cause: for such callers a response without a length ends with its connection, and the server closes it regularly also when the handler gives up.

The connection is now reset.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -57,13 +58,32 @@
 	listener *Listener
 	once     sync.Once
 	err      error
+	// reset is set when the peer must see that the connection broke off.
+	reset atomic.Bool
+}
+
+// Reset closes a connection of a Listener such that its peer does not take the end for that
+// of a whole response. What the peer has not received is dropped.
+func Reset(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		// It fails only on a connection that has ended.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// SetLinger sets what happens to bytes that were not sent when the connection is closed, as
+// that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	c.reset.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
 }
 
 // Close implements net.Conn. Reads and writes fail from now on, and the peer sees the end
 // behind what was written before.
 func (c *conn) Close() error {
 	c.once.Do(func() {
-		if c.unacknowledged() == 0 {
+		if c.reset.Load() || c.unacknowledged() == 0 {
 			c.err = c.TCPConn.Close()
 			return
 		}
--- a/internal/gateway/forward/response.go
+++ b/internal/gateway/forward/response.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/pipeline"
 )
 
@@ -106,9 +107,23 @@
 func (p *proxyRequest) abort(reason string) {
 	p.h.Stats.AbortedStreams.Add(1)
 	p.log(eventStreamAborted, http.StatusOK, reason, p.partsField())
+	if !p.r.ProtoAtLeast(1, 1) {
+		p.reset()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// reset resets the caller's connection: without chunks, its regular end is that of the
+// response.
+func (p *proxyRequest) reset() {
+	conn, _, err := http.NewResponseController(p.w).Hijack()
+	if err != nil {
+		p.log(eventStreamAborted, http.StatusOK, "not reset: "+err.Error())
+		return
+	}
+	delivery.Reset(conn)
+}
+
 // abortDisconnected ends a request whose caller closed its connection.
 func (p *proxyRequest) abortDisconnected() {
 	p.h.Stats.CallerDisconnects.Add(1)
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -86,6 +86,14 @@
 	return nil
 }
 
+// SetLinger is that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // advance returns how many of the bytes that follow belong to the current part.
 func (c *conn) advance(data []byte) int {
 	switch c.part {
