--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -240,6 +240,14 @@
 	return c.Conn.Close()
 }
 
+// SetLinger is that of net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite lets the server end a response to a request that it does not read whole.
 func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
