gateway: requests whose bodies stall or do not end hold no host

What callers saw: a caller that sent the beginning of a body and no more held its connection for good, and with a known route the memory of the body too: nothing bounded the time of a body at any port, nor that in which the server reads the rest of the body of a request that was refused.

A body must now arrive by the deadline of its request, else 408 (it has not been passed on); the rest of one that is refused has a second. The other listeners bound requests to 2 s and responses to 5 s, and a call of a peer has 1 KB at most. A caller that does not read a relay's response thus holds it no longer than that.

TestReaderSurvivesDeeplyNestedMessage sent one message of 8 MB, which is too long now; it sends that and the longest that is read, which is nested as deeply, too.

--- a/cmd/marigoldmux/flood_test.go
+++ b/cmd/marigoldmux/flood_test.go
@@ -83,6 +83,42 @@
 	return &accepted
 }
 
+// Callers send the beginning of a body and no more, with more connections than a host has
+// descriptors.
+func TestSoundCallersAreServedBesideStalledBodies(t *testing.T) {
+	for _, index := range []int{callersPort, peersPort} {
+		t.Run(fmt.Sprint(index), func(t *testing.T) {
+			g := prepareGateway(t, nil)
+			g.limitDescriptors(maxDescriptors)
+			g.start()
+			g.awaitAnswers()
+			g.flood(index, maxDescriptors+floodConnections/2, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\na")
+			client := http.Client{Timeout: waitTimeout}
+			defer client.CloseIdleConnections()
+			resp, err := client.Get("http://" + g.port(index) + "/")
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+		})
+	}
+}
+
+// Calls of anyone at the port of peers have long bodies that do not end.
+func TestLongCallsOfPeersTakeBoundedMemory(t *testing.T) {
+	const sentBytes = 3 << 20
+	g := startGateway(t, nil)
+	g.awaitAnswers()
+	head := "POST /marigoldmux.relay.v1.RelayService/Read HTTP/1.1\r\nHost: a.example\r\n" +
+		"Content-Type: application/msgpack\r\nConnect-Protocol-Version: 1\r\nContent-Length: 8000000\r\n\r\n"
+	body := make([]byte, sentBytes)
+	for _, conn := range g.flood(peersPort, 120, head) {
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = conn.Write(body)
+	}
+	highest := g.settledMemoryMB()
+	t.Logf("%d MB resident at most", highest)
+	require.Less(t, highest, memoryMB)
+}
+
 // prepareEntryHost returns a host of the older interface, which has one port. The services of
 // its platform are away.
 func prepareEntryHost(t *testing.T) *gateway {
--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
+	"github.com/marigoldmux/marigoldmux/internal/boottime"
 )
 
 // Bounds of what is read of one response, and of the memory that all bodies take.
@@ -22,6 +25,9 @@
 	maxBufferedBytes = 48 << 20
 )
 
+// restTimeout bounds the time in which the rest of a refused request's body may come.
+const restTimeout = time.Second
+
 // readBody reads the whole body, so that it can be sent more than once and
 // net/http detects when the caller disconnects. It reports whether the body was
 // read; otherwise the request has been refused.
@@ -29,6 +35,7 @@
 	if p.r.ContentLength == 0 {
 		return true
 	}
+	p.boundReads(p.deadline)
 	limit := defaultMaxBodyBytes
 	if doc := p.h.Snapshots.Snapshot().View.Document; doc != nil && doc.Limits.MaxBodyBytes > 0 {
 		limit = doc.Limits.MaxBodyBytes
@@ -43,11 +50,33 @@
 	case errors.As(err, &tooLarge):
 		p.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p.w.Header().Set("Connection", "close")
+		p.refuse(http.StatusRequestTimeout, "body came too slowly", 0)
+		return false
 	case err != nil:
 		p.w.Header().Set("Connection", "close")
 		p.refuse(http.StatusBadRequest, "body broke off: "+err.Error(), 0)
 		return false
 	}
 	p.call.Body = body
+	p.bodyRead = true
+	// From now on the connection is read to detect that the caller disconnects.
+	_ = http.NewResponseController(p.w).SetReadDeadline(time.Time{})
 	return true
 }
+
+// boundReads makes reads from the caller fail from a boot time on, so that a body that does
+// not arrive holds nothing longer.
+func (p *proxyRequest) boundReads(deadline time.Duration) {
+	until := time.Now().Add(deadline - boottime.Now())
+	// Without deadlines, as in tests, only the caller's own time limits apply.
+	_ = http.NewResponseController(p.w).SetReadDeadline(until)
+}
+
+// boundRest bounds how long the server reads the rest of a body that the handler leaves.
+func (p *proxyRequest) boundRest() {
+	if p.r.ContentLength != 0 && !p.bodyRead {
+		p.boundReads(boottime.Now() + restTimeout)
+	}
+}
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -130,8 +130,10 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	service  string
-	// buffers holds the bodies of the request and its responses.
-	buffers []*bodybuf.Buffers
+	// buffers holds the bodies of the request and its responses. bodyRead is set when the
+	// body of the request was read whole.
+	buffers  []*bodybuf.Buffers
+	bodyRead bool
 	// deadline is the boot time at which the caller's timeout, or defaultTimeout
 	// if it states none, or the route's timeout ends, whichever is first.
 	deadline time.Duration
@@ -185,6 +187,7 @@
 	call, err := h.Codec.DecodeCall(r)
 	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}}
 	defer p.releaseBuffers()
+	defer p.boundRest()
 	p.boundWrites(call.Arrived + defaultTimeout)
 	h.lastRequestAt.Store(int64(call.Arrived))
 	if stop := h.stopping.Load(); stop != nil {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -28,6 +28,10 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 64 << 10
+	// smallRequestTimeout and smallResponseTimeout bound the requests at the listeners other
+	// than the callers' and their responses.
+	smallRequestTimeout  = 2 * time.Second
+	smallResponseTimeout = 5 * time.Second
 )
 
 const (
@@ -37,6 +41,9 @@
 	closeTimeout = 300 * time.Millisecond
 )
 
+// callersName is the name of the callers' listener.
+const callersName = "callers"
+
 // listeningServer is a server with its listener.
 type listeningServer struct {
 	*http.Server
@@ -58,6 +65,9 @@
 		Handler: connlimit.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.connectionChanged, ConnContext: connlimit.ConnContext, ErrorLog: log.New(serverErrors{g.events, name}, "", 0),
 	}
+	if name != callersName {
+		s.ReadTimeout, s.WriteTimeout = smallRequestTimeout, smallResponseTimeout
+	}
 	return s
 }
 
@@ -69,7 +79,7 @@
 
 // reservedParts says for each listener which part of all connections that the host may accept
 // is reserved for it: one of so many. Any listener may use the rest.
-var reservedParts = map[string]int{"callers": 4, "directory": 8, "peers": 16, "readiness": 32, "metrics": 32}
+var reservedParts = map[string]int{callersName: 4, "directory": 8, "peers": 16, "readiness": 32, "metrics": 32}
 
 // headBytes returns the memory that the heads of requests share, of a host with memoryMB,
 // 0 if that has no bound.
@@ -98,7 +108,7 @@
 // the metrics.
 func (g *Gateway) listen(ctx context.Context) (*net.UDPConn, error) {
 	needed := []*listeningServer{
-		g.newServer("callers", g.options.Listen.Callers, g.forward),
+		g.newServer(callersName, g.options.Listen.Callers, g.forward),
 		g.newServer("readiness", g.options.Listen.Readiness, g.ports.ReadyHandler(g.ready)),
 		g.newServer("directory", g.options.Listen.Directory, g.ports.DirectoryHandler(g)),
 		g.newServer("peers", g.peerAddress, relay.Handler(g.updates.copy)),
--- a/internal/gateway/relay/codec_test.go
+++ b/internal/gateway/relay/codec_test.go
@@ -19,7 +19,7 @@
 
 func TestDeeplyNestedMessageIsRejected(t *testing.T) {
 	var a Response
-	require.ErrorIs(t, codec{}.Unmarshal(nested(maxMessageBytes-3), &a), wire.ErrNestingTooDeep)
+	require.ErrorIs(t, codec{}.Unmarshal(nested(maxResponseBytes-3), &a), wire.ErrNestingTooDeep)
 	require.ErrorIs(t, codec{}.Unmarshal(nested(wire.MaxNesting), &a), wire.ErrNestingTooDeep)
 	shallow := append(nested(wire.MaxNesting-2), 0x01)
 	require.NotErrorIs(t, codec{}.Unmarshal(shallow, &a), wire.ErrNestingTooDeep)
@@ -28,11 +28,14 @@
 func TestReaderSurvivesDeeplyNestedMessage(t *testing.T) {
 	server := httptest.NewServer(Handler(NewCache()))
 	defer server.Close()
-	resp, err := http.Post(server.URL+procedure, "application/msgpack", bytes.NewReader(nested(maxMessageBytes-3)))
-	require.NoError(t, err)
-	defer func() { _ = resp.Body.Close() }()
-	require.NotEqual(t, http.StatusOK, resp.StatusCode)
-	_, err = NewClient().Read(t.Context(), server.Listener.Addr().String(), Request{})
+	// The longest message that is read, and one that is too long.
+	for _, depth := range []int{maxRequestBytes - 3, maxResponseBytes - 3} {
+		resp, err := http.Post(server.URL+procedure, "application/msgpack", bytes.NewReader(nested(depth)))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.NotEqual(t, http.StatusOK, resp.StatusCode)
+	}
+	_, err := NewClient().Read(t.Context(), server.Listener.Addr().String(), Request{})
 	require.NoError(t, err)
 }
 
--- a/internal/gateway/relay/rpc.go
+++ b/internal/gateway/relay/rpc.go
@@ -31,8 +31,10 @@
 	dialTimeout = 200 * time.Millisecond
 	// idleTimeout closes connections to hosts that are no longer readers.
 	idleTimeout = 5 * time.Second
-	// maxMessageBytes bounds the size of a message.
-	maxMessageBytes = 8 << 20
+	// maxRequestBytes and maxResponseBytes bound the size of a message. A request has a few
+	// numbers, and anyone may send one.
+	maxRequestBytes  = 1 << 10
+	maxResponseBytes = 8 << 20
 	// bufferBytes is the size of each buffer of a connection.
 	bufferBytes = 2 << 10
 )
@@ -47,7 +49,7 @@
 			r.Wait = max(min(r.Wait, MaxWait), 0)
 			resp := c.Respond(ctx, r, receivedAt)
 			return connect.NewResponse(&resp), nil
-		}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes)))
+		}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+responseMargin)
 	defer cancel()
 	client := connect.NewClient[Request, Response](c.http, "http://"+address+procedure,
-		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes))
+		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxResponseBytes))
 	resp, err := client.CallUnary(ctx, connect.NewRequest(&r))
 	if err != nil {
 		return Response{}, eris.Wrap(ErrReaderUnavailable, err.Error())
