quota: an odd report of a peer is forgotten soon

A host that had a wrong quota reports such amounts too.

Cause: what a peer reports as used was taken from the bucket whatever it was, also what is no number. The bound on debts now holds at each refill, not only with a new configuration. A quota is judged by windows of seconds, so a debt of over a minute says nothing about them.

--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -422,6 +423,10 @@
 		l, err := duty.ParseLedger(data)
 		if err == nil {
 			l.Merge(nil).FinalizeReports(l.NextWindow + 3)
+			merged := l.Claim("h", 1, 5).Merge(map[int64]map[uint64]duty.Counts{7: {8: {"acme": 1}}})
+			for _, before := range []int64{0, 1 << 30, math.MaxInt64} {
+				merged.FinalizeReports(before)
+			}
 		}
 	})
 }
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -119,9 +119,9 @@
 	return r.value * max(1-chanceDeviations/math.Sqrt(r.uses), 0)
 }
 
-// What a bucket owes when a new configuration takes effect is bounded by maxDebtBursts and
-// the rate in maxDebtTime, far more than a sound quota lets customers owe: what was taken
-// by a quota that was wrong does not outlast it for long.
+// What a bucket owes is bounded by maxDebtBursts and the rate in maxDebtTime. That is longer
+// than quotas are judged by, and what was taken by a quota that was wrong, or by a wrong
+// report of a peer, is forgotten soon.
 const (
 	maxDebtBursts = 2
 	maxDebtTime   = time.Minute
@@ -165,6 +165,7 @@
 // refill adds the quota of the time since the last refill. In a network partition
 // each side has its own bucket, so that the burst is divided as well as the rate.
 func (b *bucket) refill(now time.Duration, share float64) {
+	b.boundDebt()
 	if now > b.refilledAt {
 		b.level += b.rate * share * (now - b.refilledAt).Seconds()
 		b.refilledAt = now
@@ -232,8 +233,7 @@
 	defer l.mu.Unlock()
 	for i := range customers {
 		if customers[i].Rate > 0 {
-			b, _ := l.bucket(&customers[i], now)
-			b.boundDebt()
+			l.bucket(&customers[i], now)
 		}
 	}
 }
@@ -249,9 +249,8 @@
 		l.buckets[c.Name] = b
 	}
 	b.rate, b.burst, b.overdraft = c.Rate, c.Burst, overdraft
-	unreported := b.unreportedUse(now, l.propagationDelay, l.peerCount)
 	b.refill(now, l.share)
-	return b, unreported
+	return b, b.unreportedUse(now, l.propagationDelay, l.peerCount)
 }
 
 // Take takes an amount of a customer's quota. When too little is left it returns
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -423,3 +423,20 @@
 		}
 	}
 }
+
+// A peer reports by mistake that a customer has used an extreme amount.
+func TestExtremeReportOfAPeerIsForgotten(t *testing.T) {
+	customer := catalog.Customer{Name: "c", Rate: 100, Burst: 500}
+	for _, used := range []float64{1e18, -1e18, math.MaxFloat64, math.Inf(1), math.Inf(-1), math.NaN()} {
+		l := quota.NewLimiter(quota.Tolerance{})
+		l.SetPropagationDelay(time.Second, 90)
+		l.SetCustomers([]catalog.Customer{customer}, time.Second)
+		for i := range 3 {
+			l.RecordPeerUsage("peer", map[string]float64{"c": used}, true, time.Second)
+			l.RecordPeerUsage("peer", map[string]float64{"c": float64(i)}, true, time.Second)
+		}
+		l.RecordPeerUsage("other", map[string]float64{"c": used}, true, time.Second)
+		taken, wait := l.Take(&customer, 1, 2*time.Minute)
+		require.True(t, taken, "%g used: wait %v", used, wait)
+	}
+}
