gateway: an answer that is cut looks incomplete to callers of HTTP/1.0 too

What callers saw: a caller of HTTP/1.0 that read a long answer until after its deadline got 2.8 of 8.4 MB and a regular end of the connection, so that the answer looked whole. A host that ends beside a slow caller does the same.

Cause: the length of an upstream's answer concerns one connection and was removed. HTTP/1.1 sends the body in chunks instead, but HTTP/1.0 ends it with the connection. An answer that is held as a whole is now sent with its length.

--- a/internal/gateway/forward/response.go
+++ b/internal/gateway/forward/response.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,6 +74,10 @@
 	}
 	p.h.Codec.CopyResponseHeader(p.w.Header(), resp.header)
 	suppressDefaultHeaders(p.w.Header())
+	if len(resp.body) > 0 {
+		// Callers of HTTP/1.0 know a whole body by its length only.
+		p.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
 	p.writeHeader(resp.status)
 	if _, err := p.w.Write(resp.body); err != nil {
 		p.log(eventCallerGone, resp.status, err.Error())
