forward: an answer is found behind copies of several earlier ones

A booking that its upstream had run and answered ended with 502 "too many stray answers": more than two late copies of earlier answers stood before its own on a kept connection.

Cause: three responses were read at most, and a connection on which copies had come was used again, so that copies of several requests in a row piled up there.

Now up to 16 are read, each discarded and bounded as before, and a connection on which a copy came is not reused.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -28,9 +28,9 @@
 	// atMostOnceMaxIdle is the longest idle time of a connection that is used for
 	// a request that must not be sent twice.
 	atMostOnceMaxIdle = 250 * time.Millisecond
-	// maxMismatched bounds the responses read on a connection to find the one to
+	// maxResponses bounds the responses read on a connection to find the one to
 	// this attempt.
-	maxMismatched = 3
+	maxResponses = 16
 	// rejectionTimeout bounds the time to read the body of a rejection.
 	rejectionTimeout = 50 * time.Millisecond
 )
@@ -149,7 +149,7 @@
 	if writeErr != nil && n == 0 {
 		return false, 0, outcome{disposition: notSent, reason: writeErr.Error()}
 	}
-	for range maxMismatched {
+	for i := range maxResponses {
 		resp, head, err := a.readHead()
 		if err != nil {
 			return false, 0, a.errorOutcome(err)
@@ -168,7 +168,8 @@
 		}
 		a.recordAdvisories(resp, head)
 		keep, result := a.handleResponse(resp, head)
-		keep = keep && writeErr == nil && !head.Close && a.conn.Reader.Buffered() == 0
+		// An upstream that sent copies of earlier responses may send more of them.
+		keep = keep && writeErr == nil && !head.Close && a.conn.Reader.Buffered() == 0 && i == 0
 		return keep, head.KeepAlive, result
 	}
 	return false, 0, a.errorOutcome(errors.New("too many stray answers"))
