forward: a silent upstream is not abandoned while there is no other

Callers of idempotent requests, and of streams that may be resumed, got 502 "no upstream" after some 0.7 s while the only upstream that could run the request was at work on it. An upstream that had sent nothing for a while was given up before it was known whether there is another; with all others leaving, out of attempts or gone there was none, and the request ended long before its deadline.

A request still ends at its deadline.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/bodybuf"
@@ -224,17 +225,26 @@
 	return a.setReadDeadline(now)
 }
 
-// mayAbandon reports whether a silent upstream may be abandoned. One that
-// already sent events of the stream may only have paused: it is abandoned if
-// another upstream is available and the retry budget allows it, or after
-// maxStreamSilence.
+// mayAbandon reports whether a silent upstream may be abandoned: only if there is
+// another one, since it may be at work. One that already sent events of the stream may
+// only have paused: it is abandoned if another upstream is available and the retry budget
+// allows it, or after maxStreamSilence.
 func (a *attempt) mayAbandon(now time.Duration) bool {
-	if !a.headerSent || now-a.lastReceivedAt > maxStreamSilence {
+	if !a.headerSent {
+		return a.hasOther(now)
+	}
+	if now-a.lastReceivedAt > maxStreamSilence {
 		return true
 	}
 	return a.hasAlternative(now) && a.reserveRetry(now)
 }
 
+// hasOther reports whether the request may be sent to another upstream.
+func (a *attempt) hasOther(now time.Duration) bool {
+	members, _ := a.eligible(a.h.Snapshots.Snapshot().View, now)
+	return slices.ContainsFunc(members, func(m *catalog.Member) bool { return m.ID != a.member.ID })
+}
+
 // hasAlternative reports whether another upstream is available that is not
 // suspect.
 func (a *attempt) hasAlternative(now time.Duration) bool {
