upconn: a pause of the host hides no end of the connection that is kept

Whether an upstream outlives its answer was taken from a read that reached its deadline. Behind a pause of this process the deadline has passed, and the read reports only that, also on a connection that was closed or reset meanwhile: the answer of an upstream that had ended could have counted as whole. Found by reading; not seen in a run.

Now the connection is asked once more, without waiting, when the deadline has passed.

TestConnectionClosedDuringAPauseIsNotOpen; it fails where the check says that a connection behind its deadline is open, as before.

--- a/internal/gateway/upconn/alive.go
+++ b/internal/gateway/upconn/alive.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // aliveFor is the time for which an upstream must go on to run. The kernel closes the
@@ -48,7 +51,29 @@
 	defer stop()
 	_, err = conn.Read(make([]byte, 1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return checkOpen(conn)
+	}
+	return err
+}
+
+// checkOpen returns an error if the other side has closed a connection. A read reports a
+// deadline that has passed first, as behind a pause of this process.
+func checkOpen(conn net.Conn) error {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	n := 0
+	controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	switch {
+	case controlErr != nil:
+		return controlErr
+	case errors.Is(err, unix.EAGAIN):
 		return nil
+	case err == nil && n == 0:
+		return io.EOF
 	}
 	return err
 }
