connlimit: the test of the connection that was idle longest waits for the order

The server may note that a connection is idle after its caller has the response, so under load the other connection could count as idle longer: seen once, the test timed out. It waits until the first is idle before the second is used.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -111,6 +111,7 @@
 	s := serve(t, g, 2, ok)
 	first, second := s.dial(), s.dial()
 	require.Equal(t, http.StatusOK, second.ask())
+	s.awaitOpen(2, 2)
 	require.Equal(t, http.StatusOK, first.ask())
 	s.awaitOpen(2, 2)
 	require.Equal(t, http.StatusOK, s.dial().ask())
