forward: a stream is not taken from its upstream while it may be sent nowhere

Cause: an upstream that is silent for a moment is given up if there is another one; whether the key of the customer is still proven, without which the request may be sent to none, was asked only afterwards.

Both questions have one answer now, the upstreams to which the request may be sent.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -241,21 +241,22 @@
 }
 
 // hasOther reports whether the request may be sent to another upstream.
-func (a *attempt) hasOther(now time.Duration) bool {
-	members, _ := a.eligible(a.h.Snapshots.Snapshot().View, now)
-	return slices.ContainsFunc(members, func(m *catalog.Member) bool { return m.ID != a.member.ID })
-}
+func (a *attempt) hasOther(now time.Duration) bool { return len(a.others(now)) > 0 }
 
 // hasAlternative reports whether another upstream is available that is not
 // suspect.
 func (a *attempt) hasAlternative(now time.Duration) bool {
-	members, _ := a.eligible(a.h.Snapshots.Snapshot().View, now)
-	for _, m := range members {
-		if m.ID != a.member.ID && !a.h.InFlight.State(m.ID, now).Suspect {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(a.others(now), func(m *catalog.Member) bool { return !a.h.InFlight.State(m.ID, now).Suspect })
+}
+
+// others returns the other upstreams to which the request may be sent.
+func (a *attempt) others(now time.Duration) []*catalog.Member {
+	view := a.h.Snapshots.Snapshot().View
+	if !a.keyProven(view, now) {
+		return nil
+	}
+	members, _ := a.eligible(view, now)
+	return slices.DeleteFunc(members, func(m *catalog.Member) bool { return m.ID == a.member.ID })
 }
 
 // setReadDeadline sets the time of the next call of onReadTimeout.
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -97,7 +97,7 @@
 	snapshot := p.h.Snapshots.Snapshot()
 	now := boottime.Now()
 	view := snapshot.View
-	if p.customer != nil && now-view.ConfirmedAt > p.h.RevokeWithin-keyMargin {
+	if !p.keyProven(view, now) {
 		return nil, "keys unproven"
 	}
 	service := view.Service(p.service)
@@ -128,6 +128,12 @@
 	return nil, "all upstreams are cold"
 }
 
+// keyProven reports whether the configuration is recent enough for the key of the request's
+// customer, if it has one.
+func (p *proxyRequest) keyProven(view *catalog.View, now time.Duration) bool {
+	return p.customer == nil || now-view.ConfirmedAt <= p.h.RevokeWithin-keyMargin
+}
+
 // eligible returns the upstreams to which the request may be sent, and the
 // shortest remaining pause of those that only want no requests for a while, 0 if
 // there are none.
