--- a/cmd/marigoldmux/process_test.go
+++ b/cmd/marigoldmux/process_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -24,6 +25,12 @@
 	"github.com/marigoldmux/marigoldmux/internal/testaddr"
 )
 
+// TestMain handles SIGHUP, so that the processes of the tests do not inherit an ignored one.
+func TestMain(m *testing.M) {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	os.Exit(m.Run())
+}
+
 // waitTimeout bounds the waits of these tests, which normally take far less.
 const waitTimeout = 30 * time.Second
 
