connlimit: a new connection has time to send its request

What callers saw: at a full listener, a connection that was accepted before its request had come could be closed at once in favour of the next one: TestSoundCallersAreServedBesideAFloodOfConnections/slow failed once under load with EOF at the readiness port. A connection is now idle for 0.2 s at least before it yields.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -52,9 +52,9 @@
 	bodyLeft int64
 	// The gate's lock guards the rest.
 	state state
-	// arrivingSince is when the current head began to arrive.
-	arrivingSince time.Time
-	element       *list.Element
+	// since is when the connection became idle or the current head began to arrive.
+	since   time.Time
+	element *list.Element
 	// head is what the head of the current request takes.
 	head headUse
 	// multiplexed is set for HTTP/2.
@@ -231,9 +231,10 @@
 	c.state, c.element = to, nil
 	switch to {
 	case idle:
+		c.since = time.Now()
 		c.element = l.idle.PushBack(c)
 	case arriving:
-		c.arrivingSince = time.Now()
+		c.since = time.Now()
 		c.element = l.arriving.PushBack(c)
 	case closed:
 		l.open--
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -21,6 +21,8 @@
 	// slowHeadAfter is the time from which a head that is still arriving yields to a new
 	// connection at a listener that is full and has no idle connection.
 	slowHeadAfter = 300 * time.Millisecond
+	// minIdle is the time in which the caller of a new connection may send its request.
+	minIdle = 200 * time.Millisecond
 	// roomCheckInterval is the pause between two looks for heads that have become slow.
 	roomCheckInterval = 50 * time.Millisecond
 	// maxLooks bounds the idle connections that are looked at for one to close.
@@ -195,7 +197,11 @@
 func (l *Listener) idleLongest() *Conn {
 	looks := 0
 	for e := l.idle.Front(); e != nil && looks < maxLooks; e = e.Next() {
-		if c := e.Value.(*Conn); !c.hasUnread() {
+		c := e.Value.(*Conn)
+		if time.Since(c.since) < minIdle {
+			return nil
+		}
+		if !c.hasUnread() {
 			return c
 		}
 		looks++
@@ -210,7 +216,7 @@
 	if front == nil {
 		return nil
 	}
-	if c := front.Value.(*Conn); time.Since(c.arrivingSince) > slowHeadAfter {
+	if c := front.Value.(*Conn); time.Since(c.since) > slowHeadAfter {
 		return c
 	}
 	return nil
