--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -58,10 +58,9 @@
 	behind atomic.Bool
 	// The gate's lock guards the rest.
 	state state
-	// idleSince is when the connection became idle, and arrivingSince when the current head
-	// began to arrive.
-	idleSince, arrivingSince time.Time
-	element                  *list.Element
+	// since is when the connection became idle or the current head began to arrive.
+	since   time.Time
+	element *list.Element
 	// head is what the head of the current request takes.
 	head headUse
 	// multiplexed is set for HTTP/2.
@@ -272,10 +271,10 @@
 	c.state, c.element = to, nil
 	switch to {
 	case idle:
-		c.idleSince = time.Now()
+		c.since = time.Now()
 		c.element = l.idle.PushBack(c)
 	case arriving:
-		c.arrivingSince = time.Now()
+		c.since = time.Now()
 		c.element = l.arriving.PushBack(c)
 	case closed:
 		l.open--
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -199,7 +199,7 @@
 	looks := 0
 	for e := l.idle.Front(); e != nil && looks < maxLooks; e = e.Next() {
 		c := e.Value.(*Conn)
-		if time.Since(c.idleSince) < yieldAfter {
+		if time.Since(c.since) < yieldAfter {
 			return nil
 		}
 		if !c.hasUnread() {
@@ -217,7 +217,7 @@
 	if front == nil {
 		return nil
 	}
-	if c := front.Value.(*Conn); time.Since(c.arrivingSince) > slowHeadAfter {
+	if c := front.Value.(*Conn); time.Since(c.since) > slowHeadAfter {
 		return c
 	}
 	return nil
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -421,8 +421,8 @@
 	l.gate.mu.Lock()
 	defer l.gate.mu.Unlock()
 	first := l.idle.Front().Value.(*Conn)
-	first.idleSince = time.Now().Add(time.Minute)
+	first.since = time.Now().Add(time.Minute)
 	require.Nil(t, l.idleLongest())
-	first.idleSince = time.Now().Add(-yieldAfter)
+	first.since = time.Now().Add(-yieldAfter)
 	require.Equal(t, first, l.idleLongest())
 }
