connlimit: a test awaits each idle connection before the next request

TestIdleLongestYieldsToANewConnection failed now and then (1 of 30 runs with the race detector beside a load of 25 to 50, also 20 s long). A server marks a connection idle after its response was written, so the connection that was asked first could become idle last, and the other one yielded. The test now waits for the first to be idle before it asks the second one; what it checks is the same.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -111,6 +111,8 @@
 	s := serve(t, g, 2, ok)
 	first, second := s.dial(), s.dial()
 	require.Equal(t, http.StatusOK, second.ask())
+	// A connection becomes idle shortly after its response has arrived.
+	s.awaitOpen(2, 2)
 	require.Equal(t, http.StatusOK, first.ask())
 	s.awaitOpen(2, 2)
 	require.Equal(t, http.StatusOK, s.dial().ask())
