connlimit: a byte behind a request is not refused in place of its response

Callers that send the next request before they have the response of the one before got 503 for the latter, and its context was cancelled while an upstream ran it, when the shared memory of heads was nearly taken. net/http begins to read behind a request before it calls the handler, which marked the head as read; a byte that was read in between counted as part of the head, and its refusal was written to the connection in place of the response.

The server reports the connection as active when the head is read and before it reads on, so this now ends the count of the head. The same holds for encrypted connections, where bodies of HTTP/2 were counted as heads until the handler ran.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -41,16 +41,14 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	// passing is set while bytes are read that are no head: in the handler, and with
-	// HTTP/2, whose heads the handler counts.
+	// passing is set while bytes are read that are no head: behind the head of a request in
+	// progress, and with HTTP/2, whose heads the handler counts.
 	passing atomic.Bool
 	// scan finds the end of the current head, ahead is what was read beyond it, and bodyLeft
 	// is what is still to be read of the body, below 0 if that is not known. The server does
 	// not read and change the state at the same time.
-	scan  headScan
-	ahead []byte
-	// headRead is set when the current head was read to its end.
-	headRead bool
+	scan     headScan
+	ahead    []byte
 	bodyLeft atomic.Int64
 	// held is the length of ahead, and behind is set when a byte behind the current request
 	// was handed out. The handler reads them while the server reads on.
@@ -152,13 +150,7 @@
 	}
 	n, lines := len(piece), 0
 	if c.listener.encryption == Plain {
-		if c.headRead {
-			// The server looks for the end of the connection while it handles a request.
-			c.behind.Store(true)
-		}
-		var ended bool
-		n, lines, ended = c.scan.next(piece)
-		c.headRead = c.headRead || ended
+		n, lines, _ = c.scan.next(piece)
 	}
 	if !g.heads.grow(&c.head, costOf(n, lines, c.listener.encryption)) {
 		return 0, errNoMemory
@@ -201,11 +193,13 @@
 	return true
 }
 
-// becomeActive marks that a connection with HTTP/2 has streams.
+// becomeActive marks that the head of a request over HTTP/1 was read, or that a connection
+// with HTTP/2 has streams. The server then reads on, perhaps before it calls the handler.
 func (c *Conn) becomeActive() {
 	g := c.listener.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.passing.Store(true)
 	if c.multiplexed || c.listener.encryption == Encrypted {
 		c.move(busy)
 	}
@@ -225,7 +219,7 @@
 		c.move(arriving)
 	}
 	c.passing.Store(c.multiplexed)
-	c.headRead = false
+	c.bodyLeft.Store(0)
 	c.behind.Store(false)
 	c.listener.signalRoom()
 }
