connlimit: a request over HTTP/2 does not yield as a slow head

Calls between hosts without TLS were cut, with the bytes of a 503 of HTTP/1.1 between the frames, when the listener was full and the first 16 bytes of their connection had come in parts. Those were taken for the beginning of a head, and the connection stayed on the list of heads that are arriving while its requests ran; a head yields after 300 ms. The first request now takes the connection off that list.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -189,6 +189,10 @@
 	if !c.multiplexed {
 		c.multiplexed = true
 		g.heads.release(&c.head)
+		if c.state == arriving {
+			// The beginning of HTTP/2 came in parts and was taken for that of a head.
+			c.move(busy)
+		}
 	}
 	return true
 }
