--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -149,7 +149,7 @@
 	}
 	n, lines := len(piece), 0
 	if c.listener.encryption == Plain {
-		n, lines, _ = c.scan.next(piece)
+		n, lines = c.scan.next(piece)
 	}
 	if !g.heads.grow(&c.head, costOf(n, lines, c.listener.encryption)) {
 		return 0, errNoMemory
--- a/internal/connlimit/heads.go
+++ b/internal/connlimit/heads.go
@@ -45,14 +45,14 @@
 	blank bool
 }
 
-// next returns how many bytes of a piece belong to the head, how many lines end in them, and
-// whether the head does. After the end of a head the next one begins.
-func (s *headScan) next(piece []byte) (n, lines int, ended bool) {
+// next returns how many bytes of a piece belong to the head, and how many lines end in them.
+// After the end of a head the next one begins.
+func (s *headScan) next(piece []byte) (n, lines int) {
 	for {
 		end := bytes.IndexByte(piece[n:], '\n')
 		if end < 0 {
 			s.blank = s.blank && isBlank(piece[n:])
-			return len(piece), lines, false
+			return len(piece), lines
 		}
 		blank := s.blank && isBlank(piece[n:n+end])
 		n += end + 1
@@ -60,7 +60,7 @@
 		s.blank = true
 		if blank {
 			*s = headScan{}
-			return n, lines, true
+			return n, lines
 		}
 	}
 }
