--- a/cmd/marigoldmux/process_test.go
+++ b/cmd/marigoldmux/process_test.go
@@ -264,7 +264,7 @@
 }
 
 // headLines returns about n bytes of header lines of a length, each with a name of its own;
-// first tells them from those of other calls.
+// first makes the names differ from those of other calls.
 func headLines(first, n, lineBytes int) []byte {
 	var lines []byte
 	for len(lines) < n {
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -36,7 +36,7 @@
 	return s
 }
 
-// signalObserver is told about the signals to a process.
+// signalObserver receives the signals to a process.
 type signalObserver interface {
 	SignalReceived(os.Signal)
 	// SettingsChecked gets the result of a check of the settings file.
