delivery: connections that wait for their callers are bounded

A connection that is closed with an answer under way waits for its caller for up to 10 s, and keeps its descriptor, which no longer counts as a connection.

256 connections of a listener may wait; one beyond that discards what it has not read and is closed, and the kernel delivers the rest if the caller sends nothing more.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -16,6 +16,9 @@
 	maxWait = 10 * time.Second
 	// checkInterval is the interval at which it checks them.
 	checkInterval = 10 * time.Millisecond
+	// maxWaiting is the number of connections of a listener that may wait at a time: each
+	// keeps its descriptor.
+	maxWaiting = 256
 	// discardBytes is the most that is read at once of what is discarded.
 	discardBytes = 4 << 10
 )
@@ -26,13 +29,15 @@
 type Listener struct {
 	net.Listener
 	closing sync.WaitGroup
+	// waiting has a value for each connection that waits for acknowledgements.
+	waiting chan struct{}
 	// released is closed when connections wait no longer.
 	released chan struct{}
 }
 
 // NewListener returns a Listener that accepts the connections of another.
 func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, released: make(chan struct{})}
+	return &Listener{Listener: l, waiting: make(chan struct{}, maxWaiting), released: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -89,8 +94,15 @@
 		}
 		// A read or write in progress would keep the connection in use.
 		_ = c.SetDeadline(time.Unix(1, 0))
-		c.err = c.CloseWrite()
-		c.listener.closing.Go(c.end)
+		select {
+		case c.listener.waiting <- struct{}{}:
+			c.err = c.CloseWrite()
+			c.listener.closing.Go(c.end)
+		default:
+			// The kernel delivers the rest, if the peer sends nothing more.
+			c.discardUnread()
+			c.err = c.TCPConn.Close()
+		}
 	})
 	return c.err
 }
@@ -98,7 +110,10 @@
 // end closes the connection once its peer has received everything. What the peer sent is
 // read only if that takes too long, so that a request is not taken and left unanswered.
 func (c *conn) end() {
-	defer func() { _ = c.TCPConn.Close() }()
+	defer func() {
+		_ = c.TCPConn.Close()
+		<-c.listener.waiting
+	}()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	timeout := time.After(maxWait)
