forward: an empty rest of a stream is no sign that it is whole

So an empty answer doesn't show that nothing is left, and the test asked for something that can't be told: a whole rest that is empty looks like one that was cut.

What callers see again: a stream whose upstream ends with its last event may break off though all events came; callers that resume it lose nothing.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -99,14 +99,14 @@
 
 // readNext reads one event. An incomplete event is dropped, unless the body is
 // delimited and ended regularly. A body that is not has broken off if it ends inside an
-// event or before the first of the stream.
+// event or before the first.
 func (r *streamRelay) readNext() error {
 	start := len(r.pending)
 	err := r.readEvent()
 	event := r.pending[start:]
 	// Until it is complete, the event is not to be sent.
 	r.pending = r.pending[:start]
-	if errors.Is(err, io.EOF) && !delimited(r.resp) && (len(event) > 0 || r.firstEventAt == 0 && !r.resumed()) {
+	if errors.Is(err, io.EOF) && !delimited(r.resp) && (len(event) > 0 || r.firstEventAt == 0) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err == nil && r.holdsStray(r.resp, event) {
@@ -116,7 +116,7 @@
 		if r.latency == 0 {
 			r.extraLatency = r.attempt.extraLatency()
 			r.latency = boottime.Now() - r.sentAt
-			if !r.resumed() {
+			if r.lastEventID == "" && r.call.LastEventID == "" {
 				r.h.InFlight.RecordFirstEvent(r.service, uncachedTokens(r.call), r.latency, boottime.Now())
 			}
 		}
@@ -127,9 +127,6 @@
 	return err
 }
 
-// resumed reports whether the stream goes on behind an event that the caller has.
-func (r *streamRelay) resumed() bool { return r.lastEventID != "" || r.call.LastEventID != "" }
-
 // delimited reports whether a response has an explicit end, so that a closed connection
 // is not taken for it.
 func delimited(resp *http.Response) bool {
