--- a/review/_standins-2/silent.go
+++ b/review/_standins-2/silent.go
@@ -95,6 +95,8 @@
 		h.start()
 	}
 	f.awaitReady()
+	// From here on, no machine has been started in the last contactMs.
+	time.Sleep(3200 * time.Millisecond)
 	for round, h := range f.hosts {
 		c := f.newClient(h, "", uint64(round))
 		var pending sync.WaitGroup
