forward: a stream that ends inside an event has broken off, whatever its framing

What callers saw: a worker stopped inside an event and ended its response regularly, with the last chunk or at the length it had stated.

Cause: the relay took what stood behind the last empty line for an event if the body had an explicit end. The framing of a body says where the response ends, not that the event is complete: that only its empty line says.

Why it works: the end of an event no longer depends on the end of its body. An event stream without any event is taken for one that broke off too, unless it is the rest of a resumed one, as it already was without a length.

The older front takes only a chunk that says so for the last one; a test of that holds before and after.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -49,6 +49,9 @@
 	return min(maxStreamBytes, streamOverheadBytes+min(call.Prompt.MaxOutputTokens, maxStreamBytes)*maxBytesPerToken)
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
 // flushBytes is the size from which complete events are sent to the caller even if
 // more of them can be read without waiting.
 const flushBytes = 16 << 10
@@ -97,16 +100,15 @@
 	}
 }
 
-// readNext reads one event. An incomplete event is dropped, unless the body is
-// delimited and ended regularly. A body that is not has broken off if it ends inside an
-// event or before the first.
+// readNext reads one event. A stream that ends inside an event, which is dropped, or
+// before its first event has broken off, also with a regular end of its body.
 func (r *streamRelay) readNext() error {
 	start := len(r.pending)
 	err := r.readEvent()
 	event := r.pending[start:]
 	// Until it is complete, the event is not to be sent.
 	r.pending = r.pending[:start]
-	if errors.Is(err, io.EOF) && !delimited(r.resp) && (len(event) > 0 || r.firstEventAt == 0) {
+	if errors.Is(err, io.EOF) && (r.endsInside(event) || r.lacksFirstEvent()) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err == nil && r.holdsStray(r.resp, event) {
@@ -128,6 +130,39 @@
 	return err
 }
 
+// endsInside reports whether a body whose last part has no empty line behind it ended
+// inside an event. Complete comment lines are no part of one, and neither is a delimited
+// body of another kind, such as a document.
+func (r *streamRelay) endsInside(part []byte) bool {
+	if delimited(r.resp) && !holdsEvents(r.resp.Header) {
+		return false
+	}
+	for line := range bytes.Lines(part) {
+		if line[0] != ':' || !bytes.HasSuffix(line, []byte("\n")) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacksFirstEvent reports whether a body that has ended is not even the beginning of a
+// stream. Only the rest of a stream that is resumed may be empty, if its end is explicit.
+func (r *streamRelay) lacksFirstEvent() bool {
+	if r.firstEventAt != 0 {
+		return false
+	}
+	resumed := r.lastEventID != "" || r.call.LastEventID != ""
+	mayBeEmpty := resumed || r.resp.StatusCode != http.StatusOK || r.call.Method == http.MethodHead || !holdsEvents(r.resp.Header)
+	return !delimited(r.resp) || !mayBeEmpty
+}
+
+// holdsEvents reports whether a body is an event stream, which is assumed if its header
+// does not state a kind.
+func holdsEvents(h http.Header) bool {
+	kind := mediaType(h)
+	return kind == "" || kind == eventStreamType
+}
+
 // delimited reports whether a response has an explicit end, so that a closed connection
 // is not taken for it.
 func delimited(resp *http.Response) bool {
--- a/internal/upstream/engine/fuzz_test.go
+++ b/internal/upstream/engine/fuzz_test.go
@@ -40,3 +40,21 @@
 		require.True(t, errors.As(err, &failure), "the stream does not end")
 	})
 }
+
+// Guards against a regular end of a body that is taken for the end of its stream: only a
+// chunk that is the last one is.
+func TestStreamWithoutItsLastChunkIsLost(t *testing.T) {
+	const token = "data: {\"index\":0,\"token\":\"a\"}\n\n"
+	for _, sent := range []string{"", token, token + "data: {\"ind", token + "data: {\"index\":1,\"token\":\"b\"}"} {
+		client := engine.NewClient("http://engine", &http.Client{Transport: fixedBody(sent)})
+		stream, err := client.Generate(context.Background(), engine.GenerateRequest{ID: "a"})
+		require.NoError(t, err)
+		for err == nil {
+			_, err = stream.Next()
+		}
+		var failure *upstream.Failure
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, upstream.Lost, failure.Kind)
+		require.NoError(t, stream.Close())
+	}
+}
