gateway: a host has no share of a limit before it knows its fleet

What callers saw: all processes were killed while the part of the log that lists the hosts answered 503.

Cause: limits are divided by the hosts that have sent digests. "There are no others" and "the others are not known yet" were the same. The slack of the retry budget, the rate of cold upstreams and the trials of held requests use the same number.

Why it works: a host knows its fleet once its record is in the log and it has read all records after that, so of two such hosts at least one has the other's address, and hosts of the list count as holders of a share before their first digest. Without it, customers with a quota get 503 with a short Retry-After. Peers that know the fleet pass it on, asked twice, so that a host serves soon when another one lives.

On the way: a write of the host's record without a response is no longer taken for done; whether a peer's use counts from its beginning is told by its uptime, not by when it was first heard.

--- a/internal/gateway/cold/cold_test.go
+++ b/internal/gateway/cold/cold_test.go
@@ -104,3 +104,10 @@
 		require.True(t, limiter.Take("u", 18, []string{name}, time.Minute+time.Second))
 	}
 }
+
+// Guards against a host that sends to cold upstreams like the only one since it knows no others.
+func TestNothingIsSentWithoutAKnownFleet(t *testing.T) {
+	limiter := cold.NewLimiter("self", 0)
+	require.False(t, limiter.Take("u", 10, nil, time.Minute))
+	require.True(t, limiter.Take("u", 10, []string{"self"}, time.Minute))
+}
--- a/internal/gateway/compat_test.go
+++ b/internal/gateway/compat_test.go
@@ -10,13 +10,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 )
 
 func TestReadsFormerData(t *testing.T) {
 	data, err := os.ReadFile("testdata/compat/host.json")
 	require.NoError(t, err)
-	require.Equal(t, []string{"10.1.0.14:7600"}, addressesOf([]topic.Entry{{Key: "front-a-1", Value: data}}))
+	require.Equal(t, []members.ListedHost{{Name: "front-a-1", PeerAddress: "10.1.0.14:7600"}}, listedHosts([]topic.Entry{{Key: "front-a-1", Value: data}}))
 	again, err := json.Marshal(hostRecord{PeerAddress: "10.1.0.14:7600"})
 	require.NoError(t, err)
 	require.Equal(t, string(data), string(again))
--- a/internal/gateway/control/control.go
+++ b/internal/gateway/control/control.go
@@ -34,8 +34,11 @@
 	// SenderNames holds the names of all hosts that may send to upstreams: this
 	// one, the live peers, and silent hosts that may still be alive.
 	SenderNames []string
-	// SenderCount is the number of these hosts, among which limits are divided.
+	// SenderCount is the number of these hosts, among which limits are divided. It is 0,
+	// and there are no SenderNames, while the host does not know its fleet.
 	SenderCount int
+	// LiveCount is the number of these hosts that are live, this one included.
+	LiveCount int
 	// RemoteLoads holds the work of live peers by the hash of the upstream's ID.
 	RemoteLoads map[uint32]members.LoadSum
 	// PeerUse is what all other hosts used of customers' quotas, if peers do not
@@ -47,6 +50,10 @@
 	At time.Duration
 }
 
+// FleetKnown reports whether the host knows all hosts of its fleet, apart from those that
+// know it. Before that it can't tell its share of any limit.
+func (s *Snapshot) FleetKnown() bool { return s.SenderCount > 0 }
+
 // OperatorRead is an input to the loop: operator changes read from the log.
 type OperatorRead struct {
 	Update catalog.OperatorUpdate
@@ -75,8 +82,12 @@
 	Summaries map[members.Scope]*members.Summary
 }
 
-// AddressesFound is an input to the loop: addresses that may be those of hosts.
-type AddressesFound struct{ Addresses []string }
+// HostsFound is an input to the loop: hosts from the list of all hosts.
+type HostsFound struct {
+	Hosts []members.ListedHost
+	// Complete is set if these are all hosts, and this one is listed too.
+	Complete bool
+}
 
 // Observer is notified of changes of the control state. Its methods are called on
 // the loop's goroutine. Each requestedAt is the boot time at which the request was
@@ -134,7 +145,7 @@
 func (l *Loop) Outgoing() <-chan Batch { return l.outgoing }
 
 // Submit passes an input to the loop: OperatorRead, UpstreamsRead, DigestReceived or
-// AddressesFound. It blocks while the queue is full, until the context ends.
+// HostsFound. It blocks while the queue is full, until the context ends.
 func (l *Loop) Submit(ctx context.Context, input any) {
 	select {
 	case l.inputs <- input:
@@ -216,8 +227,10 @@
 		}
 		l.observer.SummaryMerged(in.Summary)
 		return len(up) > 0
-	case AddressesFound:
-		l.table.AddAddresses(in.Addresses, now)
+	case HostsFound:
+		known := l.table.Complete()
+		l.table.AddListed(in.Hosts, in.Complete, now)
+		return l.table.Complete() != known
 	}
 	return false
 }
@@ -242,10 +255,13 @@
 }
 
 func (l *Loop) publish(now time.Duration) {
-	hosts := append(l.table.SenderNames(now), l.self)
+	var senders []string
+	if l.table.Complete() {
+		senders = append(l.table.SenderNames(now), l.self)
+	}
 	s := &Snapshot{
 		View: l.builder.View(), Peers: l.table.Live(now), RemoteLoads: l.table.RemoteLoads(now), PeerUse: l.table.PeerUse(),
-		SenderNames: hosts, SenderCount: len(hosts), At: now, FastExchange: l.fast,
+		SenderNames: senders, SenderCount: len(senders), LiveCount: l.table.LiveCount(now) + 1, At: now, FastExchange: l.fast,
 	}
 	l.snapshot.Store(s)
 	if l.observer != nil {
--- a/internal/gateway/control/control_test.go
+++ b/internal/gateway/control/control_test.go
@@ -35,6 +35,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go loop.Run(ctx)
+	loop.Submit(ctx, control.HostsFound{Complete: true})
 	loop.Submit(ctx, control.DigestReceived{Digest: members.Digest{
 		Host: "peer", PeerAddress: "10.0.0.2:7600", Incarnation: 1, Sequence: 1,
 	}})
@@ -43,3 +44,20 @@
 	require.ElementsMatch(t, []string{"self", "peer"}, loop.Snapshot().SenderNames)
 	require.Equal(t, 2, loop.Snapshot().SenderCount)
 }
+
+// Guards against a host that takes itself for the only one because it knows no others.
+func TestHostWithoutTheListOfHostsDoesNotKnowItsFleet(t *testing.T) {
+	loop := control.NewLoop("self", members.Self{Address: "10.0.0.1:7600"}, observer{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go loop.Run(ctx)
+	loop.Submit(ctx, control.DigestReceived{Digest: members.Digest{Host: "peer", PeerAddress: "10.0.0.2:7600", Incarnation: 1, Sequence: 1}})
+	loop.Submit(ctx, control.HostsFound{Hosts: []members.ListedHost{{Name: "listed", PeerAddress: "10.0.0.3:7600"}}})
+	require.Eventually(t, func() bool { return len(loop.Snapshot().Peers) == 1 }, eventually, time.Millisecond)
+	require.False(t, loop.Snapshot().FleetKnown())
+	require.Empty(t, loop.Snapshot().SenderNames)
+	loop.Submit(ctx, control.HostsFound{Complete: true})
+	require.Eventually(t, func() bool { return loop.Snapshot().FleetKnown() }, eventually, time.Millisecond)
+	require.ElementsMatch(t, []string{"self", "peer", "listed"}, loop.Snapshot().SenderNames)
+	require.Equal(t, 2, loop.Snapshot().LiveCount)
+}
--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -377,7 +377,7 @@
 // longer while some hosts send no digests.
 func (d *Driver) firstUnsettled(s *control.Snapshot, wall time.Time) int64 {
 	wait := settleDelay
-	if len(s.Peers)+1 < s.SenderCount {
+	if !s.FleetKnown() || len(s.Peers)+1 < s.SenderCount {
 		wait = maxSettleDelay
 	}
 	return d.Usage.Window(wall.Add(-wait))
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -185,11 +185,11 @@
 func (g *Gateway) awaitPeers(ctx context.Context) {
 	start := boottime.Now()
 	for ctx.Err() == nil && boottime.Now()-start < maxDiscoveryWait {
-		found := g.discovered.Load()
-		if found == nil && boottime.Now()-start >= addressesWait {
+		listed := g.listed.Load()
+		if listed == nil && boottime.Now()-start >= addressesWait {
 			return
 		}
-		if found != nil && (*found < members.MaxMeshHosts || len(g.loop.Snapshot().Peers) >= *found/2) {
+		if listed != nil && (len(*listed) <= members.MaxMeshHosts || len(g.loop.Snapshot().Peers) >= (len(*listed)-1)/2) {
 			return
 		}
 		sleep(ctx, peerCheckInterval)
--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -12,6 +12,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/exchange"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/explain"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/place"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/quota"
 )
 
 // maxDraws bounds the values of a random number for which a choice is computed. With at most
@@ -124,6 +125,9 @@
 	}
 	amount := quotaCost(p.call, p.customer)
 	admission := p.h.Quota.Allows(p.customer, amount, p.quotaRank(), now)
+	if p.lacksFleet() {
+		admission = quota.Admission{RetryAfter: retryOtherHost}
+	}
 	return &explain.Quota{
 		Customer: p.customer.Name, Allowed: admission.Chance > 0, Chance: admission.Chance, Amount: amount, InTokens: p.customer.InTokens,
 		Rate: p.customer.Rate, RetryAfterMs: explain.Ms(admission.RetryAfter),
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -361,6 +361,10 @@
 	if p.customer == nil {
 		return true
 	}
+	if p.lacksFleet() {
+		p.refuse(http.StatusServiceUnavailable, "fleet unknown", jitter(retryOtherHost))
+		return false
+	}
 	p.quotaTaken = quotaCost(p.call, p.customer)
 	ok, wait := p.h.Quota.TakeRanked(p.customer, p.quotaTaken, p.quotaRank(), boottime.Now())
 	if !ok {
@@ -370,6 +374,12 @@
 	return ok
 }
 
+// lacksFleet reports whether the request's customer has a quota, and this host does not know
+// with which others it shares it.
+func (p *proxyRequest) lacksFleet() bool {
+	return p.customer.Rate > 0 && !p.h.Snapshots.Snapshot().FleetKnown()
+}
+
 // quotaReason returns the reason of a refusal by the quota of a customer.
 func quotaReason(customer *catalog.Customer, amount float64) string {
 	return fmt.Sprintf("quota of %.0f a second is used up, %.0f asked", customer.Rate, amount)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,9 +142,8 @@
 	// updates applies what this host read from the log or through a reader, a
 	// peer that reads the log for others.
 	updates *updateApplier
-	// discovered is the number of addresses of other hosts that were found, nil
-	// before the first search.
-	discovered atomic.Pointer[int]
+	// listed holds the hosts that were found last in the list of all hosts, nil before.
+	listed atomic.Pointer[[]members.ListedHost]
 	// source is where this host reads the log: directly or through a reader.
 	source atomic.Pointer[relay.Source]
 	// sourceChanged is closed and replaced when source changes.
@@ -158,6 +157,8 @@
 	// versionShares holds the rollout shares by service: the share of its
 	// requests that goes to the target version.
 	versionShares atomic.Pointer[map[string]members.VersionShare]
+	// fleetKnownAt is the boot time at which this host first knew its fleet, 0 before.
+	fleetKnownAt time.Duration
 	// peerSequences holds the sequence numbers of the newest digests merged, by
 	// incarnation.
 	peerSequences map[uint64]uint64
@@ -280,13 +281,17 @@
 // retry budget and the quotas, updates the rollout shares, and merges the crash
 // evidence and the quota use in new digests of peers.
 func (g *Gateway) Published(s *control.Snapshot) {
+	now := boottime.Now()
+	if s.FleetKnown() && g.fleetKnownAt == 0 {
+		g.fleetKnownAt = now
+		g.quota.Restart(now)
+	}
 	g.retry.SetHosts(s.SenderCount)
-	g.quota.SetShare(float64(len(s.Peers)+1) / float64(max(s.SenderCount, len(s.Peers)+1)))
+	g.quota.SetShare(float64(s.LiveCount) / float64(max(s.SenderCount, s.LiveCount)))
 	g.quota.SetPropagationDelay(members.PropagationDelay(len(s.Peers)+1, s.FastExchange), len(s.Peers))
 	g.quota.SetGraduated(s.FastExchange && len(s.Peers) >= members.MaxMeshHosts)
 	g.updateVersionShares(s)
 	g.updateEngines(s.View)
-	now := boottime.Now()
 	for _, p := range s.Peers {
 		if g.peerSequences[p.Incarnation] == p.Sequence {
 			continue
@@ -295,7 +300,7 @@
 		g.poison.MergePeer(p.Crashes, p.Cleared, now)
 		g.advisories.MergePeer(p.Extension.Leaving, now)
 		if s.PeerUse == nil {
-			g.quota.RecordPeerUsage(strconv.FormatUint(p.Incarnation, 36), p.QuotaUsed, now-g.startedAt > startupWindow, now)
+			g.quota.RecordPeerUsage(strconv.FormatUint(p.Incarnation, 36), p.QuotaUsed, g.beganLater(p, now), now)
 		}
 	}
 	if s.PeerUse != nil {
@@ -350,7 +355,17 @@
 	return 0
 }
 
-// startupWindow is the time after this host's start in which it receives the
-// first digests of peers that already ran. A peer process first seen later has
-// started since, so all the quota that it used counts.
+// startupWindow is the time after this host knew its fleet in which it receives the
+// first digests of peers that already ran.
 const startupWindow = 2 * time.Second
+
+// beganLater reports whether a peer's process began after this host knew its fleet, so that
+// all the quota that it used counts. Builds that do not tell their uptime began later if they
+// are first seen behind startupWindow.
+func (g *Gateway) beganLater(p *members.Peer, now time.Duration) bool {
+	known := now - g.fleetKnownAt
+	if p.Extension.Uptime == 0 {
+		return g.fleetKnownAt > 0 && known > startupWindow
+	}
+	return g.fleetKnownAt > 0 && p.Extension.Uptime < known
+}
--- a/internal/gateway/members/members.go
+++ b/internal/gateway/members/members.go
@@ -72,9 +72,15 @@
 // Peer is another host.
 type Peer struct{ Digest }
 
+// ListedHost is a host in the list of all hosts, which the log holds.
+type ListedHost struct{ Name, PeerAddress string }
+
 // contact is a host that may be alive.
 type contact struct {
 	address string
+	// listedAs is the host's name in the list of all hosts, "" if it was not in the first
+	// list. It counts until the first digest tells the name.
+	listedAs string
 	// peer holds the host's newest digest, nil before the first.
 	peer    *Peer
 	addedAt time.Duration
@@ -110,6 +116,14 @@
 // isAlive reports whether the host has sent a digest and counts as up.
 func (c *contact) isAlive(now time.Duration) bool { return c.peer != nil && now <= c.aliveUntil }
 
+// name returns the host's name, "" if it is not known.
+func (c *contact) name() string {
+	if c.peer != nil {
+		return c.peer.Host
+	}
+	return c.listedAs
+}
+
 // silence returns the time since the host last showed to be alive.
 func (c *contact) silence(now time.Duration) time.Duration { return now - max(c.heardAt, c.addedAt) }
 
@@ -131,7 +145,9 @@
 type Table struct {
 	self Self
 	// counted is the number of requests that this host has counted for usage.
-	counted  uint64
+	counted uint64
+	// complete is set once a list of all hosts was added.
+	complete bool
 	contacts map[string]*contact
 	// order holds the contacts sorted by address, and byID those by their HostID.
 	order []*contact
@@ -168,6 +184,23 @@
 	slices.SortFunc(t.order, func(a, b *contact) int { return cmp.Compare(a.address, b.address) })
 }
 
+// AddListed adds hosts from the list of all hosts; complete is set if that is the whole list
+// and this host is in it, so that no host is unknown to both this one and itself. Hosts of the
+// first list may be alive though they have sent no digest yet, so they count as senders.
+func (t *Table) AddListed(hosts []ListedHost, complete bool, now time.Duration) {
+	for _, h := range hosts {
+		t.AddAddresses([]string{h.PeerAddress}, now)
+		if c := t.contacts[h.PeerAddress]; c != nil && !t.complete {
+			c.listedAs = h.Name
+		}
+	}
+	t.complete = t.complete || complete
+}
+
+// Complete reports whether a complete list of all hosts was added. Before that there may be
+// any number of unknown hosts.
+func (t *Table) Complete() bool { return t.complete }
+
 // dropSilent forgets the hosts that have not shown to be alive for probeDuration.
 func (t *Table) dropSilent(now time.Duration) {
 	t.order = slices.DeleteFunc(t.order, func(c *contact) bool {
@@ -237,20 +270,30 @@
 	return live
 }
 
+// LiveCount returns the number of other hosts that are not down, also those of a larger
+// fleet that only summaries have shown so far.
+func (t *Table) LiveCount(now time.Duration) int {
+	count := 0
+	for _, c := range t.order {
+		if now <= c.aliveUntil {
+			count++
+		}
+	}
+	return count
+}
+
 // SenderCount returns the number of other hosts that may hold a share of a limit:
-// all that showed to be alive within forgetAfter and have not left.
+// all that showed to be alive, or were in the first list of all hosts, within forgetAfter and
+// have not left.
 func (t *Table) SenderCount(now time.Duration) int { return len(t.SenderNames(now)) }
 
 // SenderNames returns the names of the hosts that SenderCount counts.
 func (t *Table) SenderNames(now time.Duration) []string {
 	var names []string
 	for _, c := range t.order {
-		if c.peer == nil {
-			continue
-		}
-		left := c.peer.Stopping && now > c.aliveUntil
-		if c.silence(now) <= forgetAfter && !left {
-			names = append(names, c.peer.Host)
+		left := c.peer != nil && c.peer.Stopping && now > c.aliveUntil
+		if name := c.name(); name != "" && c.silence(now) <= forgetAfter && !left {
+			names = append(names, name)
 		}
 	}
 	return names
--- a/internal/gateway/members/members_test.go
+++ b/internal/gateway/members/members_test.go
@@ -35,6 +35,21 @@
 	require.Zero(t, table.SenderCount(3*time.Second))
 }
 
+// Guards against a host that does not count those that it has the addresses of, but no digest.
+func TestListedHostsCountAsSendersUntilTheyAreForgotten(t *testing.T) {
+	table := members.NewTable(members.Self{Address: "self"})
+	table.AddListed([]members.ListedHost{{Name: "h-a", PeerAddress: "a"}, {Name: "h-b", PeerAddress: "b"}, {Name: "self", PeerAddress: "self"}}, true, time.Second)
+	require.True(t, table.Complete())
+	require.Equal(t, []string{"h-a", "h-b"}, table.SenderNames(time.Second))
+	require.Zero(t, table.LiveCount(time.Second))
+	table.Receive(digest("a", 1, 1), 2*time.Second)
+	require.Equal(t, []string{"h-a", "h-b"}, table.SenderNames(2*time.Second))
+	require.Equal(t, 1, table.LiveCount(2*time.Second))
+	require.Equal(t, []string{"h-a"}, table.SenderNames(16500*time.Millisecond), "b may be gone for good")
+	table.AddListed([]members.ListedHost{{Name: "h-c", PeerAddress: "c"}}, true, 17*time.Second)
+	require.NotContains(t, table.SenderNames(17*time.Second), "h-c", "a host that is listed later knows this one")
+}
+
 func TestOldDigestsAndOwnOnesAreIgnored(t *testing.T) {
 	table := members.NewTable(members.Self{Address: "self"})
 	table.Receive(digest("a", 1, 5), time.Second)
--- a/internal/gateway/members/tree.go
+++ b/internal/gateway/members/tree.go
@@ -406,11 +406,14 @@
 // showAlive records that a hub listed a host as alive, with its present state.
 func (t *Table) showAlive(state HostState, now time.Duration) {
 	c := t.byID[state.ID]
-	if c == nil || c.peer == nil {
+	if c == nil {
 		return
 	}
 	c.markAlive(now, shownFor)
 	c.shownAt = now
+	if c.peer == nil {
+		return
+	}
 	recentDigest := c.directAt > 0 && now-c.directAt <= 2*digestInterval
 	if recentDigest || flagsOf(&c.peer.Digest) == state.Flags {
 		return
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,18 +3,22 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/control"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 	"github.com/marigoldmux/marigoldmux/internal/rendezvous"
 )
@@ -31,6 +35,9 @@
 	// rediscoverAfter is the interval at which a host without peers reads the
 	// addresses again.
 	rediscoverAfter = 5 * time.Second
+	// announcementDelay is the time in which all hosts have heard of a new one that has
+	// their addresses.
+	announcementDelay = 300 * time.Millisecond
 )
 
 // Limits of the directory's responses.
@@ -41,36 +48,36 @@
 	maxDirectoryHosts = 64
 )
 
+// eventFleetKnown tells that this host first knew all hosts of its fleet.
+var eventFleetKnown = event.Define(939, zapcore.InfoLevel, "fleet known")
+
 // hostRecord is the value of a host in hostsTopic.
 type hostRecord struct {
 	PeerAddress string `json:"peers"`
 }
 
-// discoverPeers writes this host's peer address to the log and reads those of
-// the other hosts.
+// errUnlisted is returned while the list of all hosts lacks this one.
+var errUnlisted = eris.New("this host is not listed")
+
+// discoverPeers writes this host's peer address to the log and reads those of the other
+// hosts. While that fails, it asks peers, which may have read the list before.
+//
+// Load pattern: all hosts start again at the same moment, while the part of the log that
+// lists them is down and the rest works. Each would take itself for the only one, and use
+// the quotas of the whole fleet.
 func (g *Gateway) discoverPeers(ctx context.Context) {
-	record, err := json.Marshal(hostRecord{PeerAddress: g.peerAddress})
-	if err != nil {
-		g.events.Emit(eventLost, zap.String("dependency", "introduction"), event.Err(err))
-		return
-	}
 	log := &dependency{g: g, name: "log: hosts"}
+	asked := &peerList{g: g, client: relay.NewClient()}
 	written := false
 	for ctx.Err() == nil {
-		if !written {
-			_, err := g.ports.Feed.Put(ctx, hostsTopic, g.options.Host, record, topic.AnyOffset)
-			written = err == nil || errors.Is(err, topic.ErrOutcomeUnknown)
-		}
-		entries, _, err := g.ports.Feed.Newest(ctx, hostsTopic)
-		if err != nil || !written {
+		hosts, err := g.listHosts(ctx, &written)
+		if err != nil {
+			asked.request(ctx)
 			sleep(ctx, max(log.failed(err), discoveryRetryInterval))
 			continue
 		}
 		log.succeeded()
-		addresses := addressesOf(entries)
-		g.loop.Submit(ctx, control.AddressesFound{Addresses: addresses})
-		found := len(addresses) - 1
-		g.discovered.Store(&found)
+		g.submitHosts(ctx, hosts, true, "log")
 		sleep(ctx, rediscoverAfter)
 		for ctx.Err() == nil && len(g.loop.Snapshot().Peers) > 0 {
 			sleep(ctx, rediscoverAfter)
@@ -78,18 +85,106 @@
 	}
 }
 
-func addressesOf(entries []topic.Entry) []string {
-	var addresses []string
+// listHosts writes this host's record unless that was done, and then reads those of all
+// hosts. A host whose record comes later finds this one's. A write without a response, or one
+// of an earlier process, counts once the record is read.
+func (g *Gateway) listHosts(ctx context.Context, written *bool) ([]members.ListedHost, error) {
+	var writeErr error
+	if !*written {
+		record, err := json.Marshal(hostRecord{PeerAddress: g.peerAddress})
+		if err != nil {
+			return nil, eris.Wrap(err, "encode the host's record")
+		}
+		_, writeErr = g.ports.Feed.Put(ctx, hostsTopic, g.options.Host, record, topic.AnyOffset)
+		*written = writeErr == nil
+	}
+	entries, _, err := g.ports.Feed.Newest(ctx, hostsTopic)
+	if err != nil {
+		return nil, err
+	}
+	hosts := listedHosts(entries)
+	if !*written && !slices.Contains(hosts, members.ListedHost{Name: g.options.Host, PeerAddress: g.peerAddress}) {
+		return nil, eris.Wrap(errUnlisted, writeErr.Error())
+	}
+	*written = true
+	return hosts, nil
+}
+
+// submitHosts passes hosts from the list of all hosts to the loop.
+func (g *Gateway) submitHosts(ctx context.Context, hosts []members.ListedHost, complete bool, source string) {
+	if complete && !g.loop.Snapshot().FleetKnown() {
+		g.events.Emit(eventFleetKnown, zap.Int("hosts", len(hosts)), zap.String("source", source), zap.Duration("uptime", boottime.Now()-g.startedAt))
+	}
+	g.loop.Submit(ctx, control.HostsFound{Hosts: hosts, Complete: complete})
+	g.listed.Store(&hosts)
+}
+
+func listedHosts(entries []topic.Entry) []members.ListedHost {
+	var hosts []members.ListedHost
 	for _, entry := range entries {
 		var record hostRecord
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
 			continue
 		}
 		if _, err := netip.ParseAddrPort(record.PeerAddress); err == nil {
-			addresses = append(addresses, record.PeerAddress)
+			hosts = append(hosts, members.ListedHost{Name: entry.Key, PeerAddress: record.PeerAddress})
 		}
 	}
-	return addresses
+	return hosts
+}
+
+// hosts returns what this host tells others of the hosts that it knows.
+func (g *Gateway) hosts() relay.Hosts {
+	s := g.loop.Snapshot()
+	known := relay.Hosts{Complete: s.FleetKnown()}
+	if !known.Complete {
+		return known
+	}
+	listed := g.listed.Load()
+	if listed != nil {
+		known.Hosts = slices.Clone(*listed)
+	}
+	for _, p := range s.Peers {
+		known.Hosts = append(known.Hosts, members.ListedHost{Name: p.Host, PeerAddress: p.PeerAddress})
+	}
+	return known
+}
+
+// peersAsked is the number of peers that are asked at a time for the list of all hosts.
+const peersAsked = 3
+
+// peerList gets the list of all hosts from peers.
+type peerList struct {
+	g      *Gateway
+	client *relay.Client
+	// announcedAt is the boot time at which this host first had a list, 0 before. Since
+	// then it sends digests to all hosts.
+	announcedAt time.Duration
+}
+
+// request asks some peers for the list, unless this host knows its fleet. The list is complete
+// if this host was announced a while before: of two hosts that ask different peers at the same
+// time, at least one finds the other.
+func (l *peerList) request(ctx context.Context) {
+	s := l.g.loop.Snapshot()
+	if s.FleetKnown() {
+		return
+	}
+	peers := slices.Clone(s.Peers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(peersAsked, len(peers))] {
+		now := boottime.Now()
+		known, err := l.client.Hosts(ctx, peer.PeerAddress)
+		if err != nil || !known.Complete {
+			continue
+		}
+		complete := l.announcedAt > 0 && now-l.announcedAt >= announcementDelay
+		if l.announcedAt == 0 {
+			l.announcedAt = boottime.Now()
+		}
+		l.g.submitHosts(ctx, known.Hosts, complete, peer.Host)
+		return
+	}
 }
 
 func (g *Gateway) receiveDigests(ctx context.Context, socket *net.UDPConn) {
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -219,6 +219,16 @@
 	return &Limiter{buckets: map[string]*bucket{}, peerUsed: map[string]map[string]float64{}, share: 1, tolerance: tolerance, random: rand.New(rand.NewPCG(graduationSeed, 0))}
 }
 
+// Restart makes all buckets those of a new process. It is called when the host first knows
+// its fleet: until then it did not hear what others used.
+func (l *Limiter) Restart(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.buckets {
+		b.level, b.refilledAt, b.peerRate = b.burst*startLevel-b.overdraft, now, decayedRate{}
+	}
+}
+
 // SetShare sets the share of each quota that this host and its live peers may use
 // together, from 0 to 1. It is below 1 while some hosts that may be alive are silent.
 func (l *Limiter) SetShare(share float64) {
--- a/internal/gateway/quota/quota_test.go
+++ b/internal/gateway/quota/quota_test.go
@@ -446,3 +446,20 @@
 		require.True(t, taken, "%g used: wait %v", used, wait)
 	}
 }
+
+// Guards against a bucket that was refilled while the host could not hear what others used.
+func TestRestartForgetsWhatWasRefilledUnheard(t *testing.T) {
+	customer := &catalog.Customer{Name: "c", Rate: 100, Burst: 100}
+	l := quota.NewLimiter(quota.Tolerance{})
+	l.SetCustomers([]catalog.Customer{*customer}, 0)
+	l.Restart(time.Minute)
+	taken := 0
+	for {
+		if ok, _ := l.Take(customer, 10, time.Minute); !ok {
+			break
+		}
+		taken += 10
+	}
+	require.LessOrEqual(t, taken, 40, "a new process assumes 0.4 of the burst")
+	require.Positive(t, taken)
+}
--- a/internal/gateway/relay/codec_test.go
+++ b/internal/gateway/relay/codec_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestReaderSurvivesDeeplyNestedMessage(t *testing.T) {
-	server := httptest.NewServer(Handler(NewCache()))
+	server := httptest.NewServer(Handler(NewCache(), func() Hosts { return Hosts{} }))
 	defer server.Close()
 	// The longest message that is read, and one that is too long.
 	for _, depth := range []int{maxRequestBytes - 3, maxResponseBytes - 3} {
--- a/internal/gateway/relay/compat_test.go
+++ b/internal/gateway/relay/compat_test.go
@@ -93,7 +93,7 @@
 	cache := relay.NewCache()
 	require.True(t, cache.ApplyOperator(former.Operator, time.Second))
 	require.True(t, cache.ApplyUpstreams(former.Upstreams, time.Second))
-	reader := httptest.NewServer(relay.Handler(cache))
+	reader := httptest.NewServer(relay.Handler(cache, func() relay.Hosts { return relay.Hosts{} }))
 	defer reader.Close()
 	answer, err := http.Post(reader.URL+"/marigoldmux.relay.v1.RelayService/Read", "application/msgpack",
 		bytes.NewReader(readFile(t, "first-request.msgpack")))
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -213,7 +213,7 @@
 	c.ApplyUpstreams(catalog.UpstreamUpdate{Whole: true, Next: 1, Changes: []catalog.UpstreamChange{
 		{ID: "u", Upstream: &catalog.Upstream{ID: "u", Cold: time.Second, Born: 5, Spot: true}},
 	}}, time.Second)
-	server := httptest.NewServer(relay.Handler(c))
+	server := httptest.NewServer(relay.Handler(c, func() relay.Hosts { return relay.Hosts{} }))
 	defer server.Close()
 	response, err := relay.NewClient().Read(t.Context(), strings.TrimPrefix(server.URL, "http://"), relay.Request{Operator: -1, Upstreams: -1})
 	require.NoError(t, err)
--- a/internal/gateway/relay/rpc.go
+++ b/internal/gateway/relay/rpc.go
@@ -10,13 +10,17 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 )
 
 // ErrReaderUnavailable is the root of errors from requests to a reader.
 var ErrReaderUnavailable = eris.New("request to reader failed")
 
-// procedure is the path of the only RPC.
-const procedure = "/marigoldmux.relay.v1.RelayService/Read"
+// The paths of the RPCs.
+const (
+	procedure      = "/marigoldmux.relay.v1.RelayService/Read"
+	hostsProcedure = "/marigoldmux.relay.v1.RelayService/Hosts"
+)
 
 // Timeouts and sizes of requests.
 const (
@@ -39,8 +43,18 @@
 	bufferBytes = 2 << 10
 )
 
-// Handler serves followers from a cache.
-func Handler(c *Cache) http.Handler {
+// HostsRequest requests the hosts that a host knows.
+type HostsRequest struct{}
+
+// Hosts are the hosts that a host knows.
+type Hosts struct {
+	// Complete is set if these are all hosts of the fleet. Otherwise there are none.
+	Complete bool
+	Hosts    []members.ListedHost
+}
+
+// Handler serves followers from a cache, and the hosts that this host knows.
+func Handler(c *Cache, hosts func() Hosts) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(procedure, connect.NewUnaryHandler(procedure,
 		func(ctx context.Context, req *connect.Request[Request]) (*connect.Response[Response], error) {
@@ -50,13 +64,18 @@
 			resp := c.Respond(ctx, r, receivedAt)
 			return connect.NewResponse(&resp), nil
 		}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
+	mux.Handle(hostsProcedure, connect.NewUnaryHandler(hostsProcedure,
+		func(context.Context, *connect.Request[HostsRequest]) (*connect.Response[Hosts], error) {
+			known := hosts()
+			return connect.NewResponse(&known), nil
+		}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
-// Client sends requests to readers. It is safe for concurrent use.
+// Client sends requests to other hosts. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client for any readers.
+// NewClient returns a client for any hosts.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
@@ -78,3 +97,16 @@
 	}
 	return *resp.Msg, nil
 }
+
+// Hosts requests the hosts that the host at an IP address and port knows.
+func (c *Client) Hosts(ctx context.Context, address string) (Hosts, error) {
+	ctx, cancel := context.WithTimeout(ctx, responseMargin)
+	defer cancel()
+	client := connect.NewClient[HostsRequest, Hosts](c.http, "http://"+address+hostsProcedure,
+		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxResponseBytes))
+	resp, err := client.CallUnary(ctx, connect.NewRequest(&HostsRequest{}))
+	if err != nil {
+		return Hosts{}, eris.Wrap(ErrReaderUnavailable, err.Error())
+	}
+	return *resp.Msg, nil
+}
--- a/internal/gateway/retry/retry.go
+++ b/internal/gateway/retry/retry.go
@@ -45,15 +45,24 @@
 	return &Budget{limit: limit, hosts: 1, buckets: map[string]*bucket{}}
 }
 
-// SetHosts sets the number of hosts that share the slack of the limit.
+// SetHosts sets the number of hosts that share the slack of the limit, 0 while it is not
+// known: then this host uses none of it.
 func (b *Budget) SetHosts(hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hosts = max(hosts, 1)
+	b.hosts = hosts
+}
+
+// slack returns this host's share of the slack.
+func (b *Budget) slack() float64 {
+	if b.hosts == 0 {
+		return 0
+	}
+	return b.limit.Slack * slackFactor / float64(b.hosts)
 }
 
 func (b *Budget) refill(service string, now time.Duration) *bucket {
-	slack := b.limit.Slack * slackFactor / float64(b.hosts)
+	slack := b.slack()
 	tb := b.buckets[service]
 	if tb == nil {
 		tb = &bucket{tokens: slack / 2, refilledAt: now}
--- a/internal/gateway/retry/retry_test.go
+++ b/internal/gateway/retry/retry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/retry"
@@ -44,3 +45,14 @@
 		}
 	})
 }
+
+// Guards against a host that uses the slack of the whole fleet since it knows no others.
+func TestNoSlackWithoutAKnownFleet(t *testing.T) {
+	budget := retry.NewBudget(retry.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
+	budget.SetHosts(0)
+	require.False(t, budget.TryTake("svc", time.Second))
+	for range 100 {
+		budget.CountRequest("svc", 2*time.Second)
+	}
+	require.True(t, budget.TryTake("svc", 2*time.Second), "the ratio of its own requests remains")
+}
