forward: an answer without a length is not whole if its upload was cut

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was written.

Cause: the kernel reports a reset once, and the write of the request took it. The reads behind it got what had arrived and then an end like that of a closed connection.

Evidence: TestAnswerWithoutALengthThatIsResetDuringTheUploadIsNotComplete, four forms, all fail before and hold now. One with a length stays whole, before and now (TestAnswerWithALengthIsWholeThoughTheUploadIsReset).

Why it works: the failed write is the only trace of the reset, so a body whose end is that of its connection is not trusted behind one.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -66,6 +66,8 @@
 	answering    bool
 	// events is the number of events that the upstream sent in this attempt.
 	events int
+	// writeFailed is set when the upstream did not take the whole request.
+	writeFailed bool
 }
 
 // attempt sends the request to one upstream and sends its response on to the
@@ -151,6 +153,7 @@
 	if writeErr != nil && n == 0 {
 		return false, 0, outcome{disposition: notSent, reason: writeErr.Error()}
 	}
+	a.writeFailed = writeErr != nil
 	for i := range maxResponses {
 		resp, head, err := a.readHead()
 		if err != nil {
@@ -172,7 +175,7 @@
 		a.recordLoad(head.Load)
 		keep, result := a.handleResponse(resp, head)
 		// An upstream that sent copies of earlier responses may send more of them.
-		keep = keep && writeErr == nil && !head.Close && a.conn.Reader.Buffered() == 0 && i == 0
+		keep = keep && !a.writeFailed && !head.Close && a.conn.Reader.Buffered() == 0 && i == 0
 		return keep, head.KeepAlive, result
 	}
 	return false, 0, a.errorOutcome(errors.New("too many stray answers"))
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -181,15 +181,19 @@
 	return !delimited(resp) && a.conn.Reused() && statusLine.Match(part)
 }
 
-var errEndUnproven = errors.New("upstream does not outlive its response without a length")
+var errEndUnproven = errors.New("upstream may have broken off its response without a length")
 
 // endsWhole reports whether a response that was read to its end is whole. The connection
 // of an upstream that has crashed or was taken away ends like a body without a length, so
-// the upstream must still run some time later, also if it leaves.
+// the upstream must still run some time later, also if it leaves. So does one that was reset
+// while the request was written: the kernel reports the reset once, to the write.
 func (a *attempt) endsWhole(resp *http.Response) bool {
 	if delimited(resp) {
 		return true
 	}
+	if a.writeFailed {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(a.r.Context(), a.deadline-boottime.Now())
 	defer cancel()
 	stop := context.AfterFunc(a.h.ending, cancel)
