forward: a response needs a status of HTTP/1

What callers saw: a worker in trouble sent an answer with the status 000. Other systems passed it on; here it counted as an interim response, so that the caller got 504 at the deadline, or what the worker sent next. 600 and above was passed on, as was an answer of HTTP/2.0 (MIXED).

Cause: package http accepts any version and any three digits, and nothing checked them.

Why it works: what stands behind such a status line is no response, so the attempt ends at once with an unknown outcome, and nothing in the head counts, not even that the request has not run. In the older front such a status was never a success; a test of that holds before and after.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -39,6 +39,7 @@
 var (
 	errUnresponsive = errors.New("upstream is silent")
 	errNoID         = errors.New("answer has no ID")
+	errStatusLine   = errors.New("answer has no status of HTTP/1")
 )
 
 // bufferedResponse is a complete response of an upstream.
@@ -211,12 +212,23 @@
 		if err != nil {
 			return nil, exchange.Response{}, err
 		}
+		if !validStatusLine(resp) {
+			return nil, exchange.Response{}, errStatusLine
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, a.h.Codec.DecodeResponse(resp), nil
 		}
 	}
 }
 
+// validStatusLine reports whether a response has a version and a status of HTTP/1. Package
+// http accepts any version and any three digits. What stands behind such a line, be it that
+// the request has not run, is no response.
+func validStatusLine(resp *http.Response) bool {
+	const lowest, highest = 100, 599
+	return resp.ProtoMajor == 1 && resp.StatusCode >= lowest && resp.StatusCode <= highest
+}
+
 // onReadTimeout decides whether to keep waiting for the upstream. A request
 // that may run at another upstream does not wait for one that responds to no
 // request.
--- a/internal/upstream/plain/plain_test.go
+++ b/internal/upstream/plain/plain_test.go
@@ -164,6 +164,20 @@
 	require.Equal(t, upstream.Lost, upstream.KindOf(err))
 }
 
+// Guards against a response whose status is none, which says nothing of the call.
+func TestResponseWithoutAValidStatusIsLost(t *testing.T) {
+	f := startFlakyUpstream(t, func(_ *flakyUpstream, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if warm(reader, conn) {
+			readRequest(reader)
+			_, _ = io.WriteString(conn, strings.Replace(completeResponse, "200 OK", "000 Trouble", 1))
+		}
+	})
+	_, err := f.callTwice(t)
+	require.Error(t, err)
+	require.Equal(t, upstream.Lost, upstream.KindOf(err))
+}
+
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
