--- a/internal/gateway/cold/cold.go
+++ b/internal/gateway/cold/cold.go
@@ -48,8 +48,8 @@
 // Take reports whether this host may send one request to a cold upstream that can
 // handle a rate of requests per second. hosts are all hosts that may send to it,
 // also those that have sent no digest lately, so that both sides of a network
-// partition agree on the senders. Without any, which hosts there are is not known, and this
-// one sends nothing.
+// partition agree on the senders. While they are not known, hosts is empty and nothing is
+// sent.
 func (l *Limiter) Take(upstream string, rate float64, hosts []string, now time.Duration) bool {
 	if !l.isSender(upstream, rate, hosts, now) {
 		return false
--- a/internal/gateway/control/control.go
+++ b/internal/gateway/control/control.go
@@ -50,8 +50,8 @@
 	At time.Duration
 }
 
-// FleetKnown reports whether the host knows all hosts of its fleet, apart from those that
-// know it. Before that it can't tell its share of any limit.
+// FleetKnown reports whether the host has had a complete list of all hosts. Before that it
+// cannot compute its share of any limit.
 func (s *Snapshot) FleetKnown() bool { return s.SenderCount > 0 }
 
 // OperatorRead is an input to the loop: operator changes read from the log.
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -374,8 +374,8 @@
 	return ok
 }
 
-// lacksFleet reports whether the request's customer has a quota, and this host does not know
-// with which others it shares it.
+// lacksFleet reports whether the request's customer has a quota, but this host does not know
+// the hosts that share it.
 func (p *proxyRequest) lacksFleet() bool {
 	return p.customer.Rate > 0 && !p.h.Snapshots.Snapshot().FleetKnown()
 }
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -130,9 +130,9 @@
 	return err
 }
 
-// endsInside reports whether a body whose last part has no empty line behind it ended
-// inside an event. Complete comment lines are no part of one, and neither is a delimited
-// body of another kind, such as a document.
+// endsInside reports whether a body ended inside an event, given what stands behind its last
+// empty line. Complete comment lines are no part of an event, and neither is a delimited body
+// of another media type, such as a document.
 func (r *streamRelay) endsInside(part []byte) bool {
 	if delimited(r.resp) && !holdsEvents(r.resp.Header) {
 		return false
@@ -145,8 +145,9 @@
 	return false
 }
 
-// lacksFirstEvent reports whether a body that has ended is not even the beginning of a
-// stream. Only the rest of a stream that is resumed may be empty, if its end is explicit.
+// lacksFirstEvent reports whether a body that has ended without an event has broken off. The
+// rest of a resumed stream may be empty, if its end is explicit; so may a body that is no
+// event stream.
 func (r *streamRelay) lacksFirstEvent() bool {
 	if r.firstEventAt != 0 {
 		return false
@@ -156,8 +157,8 @@
 	return !delimited(r.resp) || !mayBeEmpty
 }
 
-// holdsEvents reports whether a body is an event stream, which is assumed if its header
-// does not state a kind.
+// holdsEvents reports whether a body is an event stream, by its media type or for lack of
+// one.
 func holdsEvents(h http.Header) bool {
 	kind := mediaType(h)
 	return kind == "" || kind == eventStreamType
--- a/internal/gateway/members/members.go
+++ b/internal/gateway/members/members.go
@@ -78,8 +78,8 @@
 // contact is a host that may be alive.
 type contact struct {
 	address string
-	// listedAs is the host's name in the list of all hosts, "" if it was not in the first
-	// list. It counts until the first digest tells the name.
+	// listedAs is the host's name in the first list of all hosts, "" if it was not in it. A
+	// digest replaces it.
 	listedAs string
 	// peer holds the host's newest digest, nil before the first.
 	peer    *Peer
@@ -146,7 +146,7 @@
 	self Self
 	// counted is the number of requests that this host has counted for usage.
 	counted uint64
-	// complete is set once a list of all hosts was added.
+	// complete is set once a complete list of all hosts was added.
 	complete bool
 	contacts map[string]*contact
 	// order holds the contacts sorted by address, and byID those by their HostID.
@@ -184,9 +184,10 @@
 	slices.SortFunc(t.order, func(a, b *contact) int { return cmp.Compare(a.address, b.address) })
 }
 
-// AddListed adds hosts from the list of all hosts; complete is set if that is the whole list
-// and this host is in it, so that no host is unknown to both this one and itself. Hosts of the
-// first list may be alive though they have sent no digest yet, so they count as senders.
+// AddListed adds hosts from the list of all hosts; complete is set if it is the whole list and
+// contains this host, so that a host that is missing finds this one when it reads the list.
+// Hosts of the first list may be alive though they have sent no digest yet, so they count as
+// senders.
 func (t *Table) AddListed(hosts []ListedHost, complete bool, now time.Duration) {
 	for _, h := range hosts {
 		t.AddAddresses([]string{h.PeerAddress}, now)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,8 +35,8 @@
 	// rediscoverAfter is the interval at which a host without peers reads the
 	// addresses again.
 	rediscoverAfter = 5 * time.Second
-	// announcementDelay is the time in which all hosts have heard of a new one that has
-	// their addresses.
+	// announcementDelay is the time in which all hosts have received a digest of a new one
+	// that has their addresses.
 	announcementDelay = 300 * time.Millisecond
 )
 
@@ -48,7 +48,7 @@
 	maxDirectoryHosts = 64
 )
 
-// eventFleetKnown tells that this host first knew all hosts of its fleet.
+// eventFleetKnown is emitted when this host first has a complete list of all hosts.
 var eventFleetKnown = event.Define(939, zapcore.InfoLevel, "fleet known")
 
 // hostRecord is the value of a host in hostsTopic.
