members: a test that a host which starts again soon knows its share

All hosts of the list count as holders of a share from the start; in a larger fleet the states in a summary show that they live before their details come. The simulated hosts get the list of all hosts, as real ones do.

--- a/internal/gateway/members/tree_test.go
+++ b/internal/gateway/members/tree_test.go
@@ -81,11 +81,11 @@
 	h.table.SetFastExchange(f.fast)
 	h.incarnation = f.rand.Uint64() >> 12
 	h.sequence, h.used, h.startedAt = 0, 0, f.now
-	var addresses []string
+	var listed []members.ListedHost
 	for _, other := range f.hosts {
-		addresses = append(addresses, other.address)
+		listed = append(listed, members.ListedHost{Name: other.name, PeerAddress: other.address})
 	}
-	h.table.AddAddresses(addresses, f.now)
+	h.table.AddListed(listed, true, f.now)
 }
 
 func (f *simFleet) digest(h *simHost) *members.Digest {
@@ -194,6 +194,24 @@
 	return f.now - start
 }
 
+// Scenario: a process starts again in a fleet that runs, and must know soon that the hosts of its
+// list live: until then it has only its share of each quota.
+func TestRestartedHostCountsOthersAsLiveSoon(t *testing.T) {
+	const within = time.Second
+	for _, n := range []int{9, 70, 195} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newSimFleet(n, 1)
+			f.await(t, 20*time.Second, func() bool { return f.allSee(n - 1) })
+			h := f.hosts[n-1]
+			f.start(h)
+			require.Equal(t, n-1, h.table.SenderCount(f.now), "all that are listed may be alive")
+			took := f.await(t, within, func() bool { return h.table.LiveCount(f.now) == n-1 })
+			t.Logf("all %d others count as live %v after the start, %d with their details", n-1, took, f.live(h))
+		})
+	}
+}
+
 // missedWithin is the time in which dead hosts must be missed: the directory may name
 // them for some seconds, which callers notice.
 const missedWithin = 4 * time.Second
