--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -133,7 +133,7 @@
 	return hosts
 }
 
-// hosts returns what this host tells others of the hosts that it knows.
+// hosts returns the hosts that this host knows, as it responds to hosts that ask for them.
 func (g *Gateway) hosts() relay.Hosts {
 	s := g.loop.Snapshot()
 	known := relay.Hosts{Complete: s.FleetKnown()}
