--- a/review/_standins-3/store.go
+++ b/review/_standins-3/store.go
@@ -261,3 +261,36 @@
 		}
 	}
 }
+
+// drill makes the store give no answers for a while and come back from a copy: what was written
+// since the copy was made is gone, and what the operator and the workers wrote of it is written
+// again, in the same order.
+func (s *store) drill(copiedAt time.Time, away time.Duration) {
+	s.mu.Lock()
+	s.away = true
+	s.notify()
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.topics {
+		kept := 0
+		for kept < len(t.records) && t.records[kept].at.Before(copiedAt) {
+			kept++
+		}
+		lost := t.records[kept:]
+		t.records = append([]entry(nil), t.records[:kept]...)
+		again := 0
+		for _, one := range lost {
+			if one.outside {
+				one.at = time.Now()
+				t.records = append(t.records, one)
+				again++
+			}
+		}
+		s.w.note("drill: %s loses %d records, %d of them are written again", name, len(lost), again)
+	}
+	s.era++
+	s.away = false
+	s.notify()
+}
--- a/review/_standins-3/world.go
+++ b/review/_standins-3/world.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -128,6 +129,8 @@
 	callers, ready, directory string
 	settings                  string
 	cmd                       *exec.Cmd
+	// leaving is set while clients don't use the host.
+	leaving atomic.Bool
 }
 
 // newHost makes the settings of a host as deploy/gateway.tmpl does for a small deployment.
