--- a/review/_standins-3/case11.go
+++ b/review/_standins-3/case11.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os/exec"
 	"strings"
 	"sync"
 	"time"
@@ -24,80 +23,15 @@
 	gapPatience = 4 * time.Second
 )
 
-// linkedWorker is a worker behind links to the hosts and to the store.
-type linkedWorker struct {
-	w                *world
-	service, zone    string
-	listen           string
-	toHosts, toStore *link
-	starts           int
-	cmd              *exec.Cmd
-	number           int
-}
-
-func newLinkedWorker(w *world, service, zone string, number int) (*linkedWorker, error) {
-	ip := fmt.Sprintf("127.32.%d.1", number)
-	port, err := freePort(ip)
-	if err != nil {
-		return nil, err
-	}
-	lw := &linkedWorker{w: w, service: service, zone: zone, listen: fmt.Sprintf("%s:%d", ip, port), number: number}
-	if lw.toHosts, err = newLink(fmt.Sprintf("127.33.%d.1", number), lw.listen); err != nil {
-		return nil, err
-	}
-	if lw.toStore, err = newLink(fmt.Sprintf("127.34.%d.1", number), w.store.address); err != nil {
-		return nil, err
-	}
-	return lw, lw.run()
-}
-
-// run starts the process of the worker, each time under a new ID.
-func (lw *linkedWorker) run() error {
-	lw.starts++
-	id := fmt.Sprintf("i-%d-%d", lw.number, lw.starts)
-	cmd, err := lw.w.start("workers.log", nil, "target/review-standins-3", "worker", "-id", id, "-listen", lw.listen,
-		"-address", lw.toHosts.address, "-service", lw.service, "-zone", lw.zone, "-store", "http://"+lw.toStore.address)
-	lw.cmd = cmd
-	lw.w.note("worker %s of %s starts", id, lw.service)
-	return err
-}
-
-// setCut cuts the worker off from all hosts and from the store, or heals that.
-func (lw *linkedWorker) setCut(cut bool) {
-	lw.toHosts.setCut(cut)
-	lw.toStore.setCut(cut)
-	lw.w.note("worker %d cut off: %v", lw.number, cut)
-}
-
 // crashBehindCut: one worker in five is cut off from all machines for some seconds, crashes
 // behind the cut and starts again. Half of the streams have neither a length nor chunks.
 func crashBehindCut(w *world, trouble bool) ([]string, error) {
-	zones := []string{"bkk-a", "bkk-b", "bkk-c"}
 	go w.store.expireServers(1200 * time.Millisecond)
 	w.store.putJSON("keyed.op", "config", configuration(7))
-	var workers []*linkedWorker
-	for i := range 5 {
-		lw, err := newLinkedWorker(w, "cake-llm", zones[i%len(zones)], i+1)
-		if err != nil {
-			return nil, err
-		}
-		workers = append(workers, lw)
-	}
-	var hosts []*host
-	for i, zone := range zones {
-		h, err := w.newHost("front-"+zone+"-1", fmt.Sprintf("127.31.0.%d", i+1), zone, w.store.address)
-		if err != nil {
-			return nil, err
-		}
-		hosts = append(hosts, h)
-		if err := h.run(); err != nil {
-			return nil, err
-		}
-	}
-	if err := awaitReady(hosts); err != nil {
+	workers, hosts, err := startWithWorkers(w, "cake-llm", 5, true)
+	if err != nil {
 		return nil, err
 	}
-	time.Sleep(2 * time.Second)
 	w.note("traffic starts")
 	var troubled sync.WaitGroup
 	if trouble {
@@ -111,7 +45,7 @@
 	return breaches, nil
 }
 
-func playCrashBehindCut(lw *linkedWorker) {
+func playCrashBehindCut(lw *workerProcess) {
 	time.Sleep(cutAt)
 	lw.setCut(true)
 	time.Sleep(crashAfter)
--- a/review/_standins-3/case12.go
+++ b/review/_standins-3/case12.go
@@ -91,32 +91,6 @@
 	return judgeKeys(w, requests, taken)
 }
 
-// startSmall starts three hosts in as many zones, and a number of workers of a service.
-func startSmall(w *world, service string, workers int) ([]*host, error) {
-	zones := []string{"bkk-a", "bkk-b", "bkk-c"}
-	for i := range workers {
-		if _, err := newLinkedWorker(w, service, zones[i%len(zones)], i+1); err != nil {
-			return nil, err
-		}
-	}
-	var hosts []*host
-	for i, zone := range zones {
-		h, err := w.newHost("front-"+zone+"-1", fmt.Sprintf("127.31.0.%d", i+1), zone, w.store.address)
-		if err != nil {
-			return nil, err
-		}
-		hosts = append(hosts, h)
-		if err := h.run(); err != nil {
-			return nil, err
-		}
-	}
-	if err := awaitReady(hosts); err != nil {
-		return nil, err
-	}
-	time.Sleep(2 * time.Second)
-	return hosts, nil
-}
-
 // judgeKeys returns the requests that ran though their key was taken away before, or was never
 // in a configuration.
 func judgeKeys(w *world, requests []*sent, taken map[string]time.Time) ([]string, error) {
--- a/review/_standins-3/worker.go
+++ b/review/_standins-3/worker.go
@@ -35,6 +35,9 @@
 	sequence int
 }
 
+// crashed is the exit code of a worker that a request has crashed.
+const crashed = 3
+
 func runWorker(args []string) {
 	w := &worker{born: time.Now().UnixMilli()}
 	flags := flag.NewFlagSet("worker", flag.ExitOnError)
@@ -122,6 +125,10 @@
 		return w.stream(conn, r, id, head, signature)
 	}
 	w.say("runs %s", id)
+	if strings.HasSuffix(r.URL.Path, "/crash") {
+		w.say("crashes %s", id)
+		os.Exit(crashed)
+	}
 	time.Sleep(30 * time.Millisecond)
 	body := strings.Repeat("x", 800)
 	_, err := io.WriteString(conn, head("200 OK", signature, "Content-Length: "+strconv.Itoa(len(body)))+body)
--- a/review/_standins-3/world.go
+++ b/review/_standins-3/world.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -86,6 +88,28 @@
 	return cmd, nil
 }
 
+// runsOf returns the times at which workers began to work on the requests whose ID has a prefix.
+func (w *world) runsOf(prefix string) ([]time.Time, error) {
+	runs, err := os.ReadFile(filepath.Join(w.temp, "workers.log"))
+	if err != nil {
+		return nil, err
+	}
+	var times []time.Time
+	for line := range strings.Lines(string(runs)) {
+		fields := strings.Fields(line)
+		if len(fields) != 4 || fields[2] != "runs" || !strings.HasPrefix(fields[3], prefix) {
+			continue
+		}
+		ms, err := strconv.ParseInt(fields[0], 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		times = append(times, time.UnixMilli(ms))
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times, nil
+}
+
 // kill ends a process with SIGKILL and waits for its end.
 func kill(cmd *exec.Cmd) {
 	_ = cmd.Process.Signal(syscall.SIGCONT)
