--- a/review/_standins-3/case13.go
+++ b/review/_standins-3/case13.go
@@ -19,7 +19,7 @@
 // another one takes the duties over. Some seconds later the store comes back from a copy that was
 // made just before.
 func tokenGivenOutTwice(w *world, trouble bool) ([]string, error) {
-	go w.store.expireServers(1200 * time.Millisecond)
+	go w.store.expireServers(heartbeat)
 	w.store.putJSON("keyed.op", "config", configuration(7))
 	hosts, err := startSmall(w, "booking-app", 4)
 	if err != nil {
@@ -47,7 +47,7 @@
 	time.Sleep(time.Second)
 	holder.leaving.Store(false)
 	if trouble {
-		w.store.drill(copiedAt, awayFor)
+		w.store.writeAgain(w.store.drill(copiedAt, awayFor))
 	}
 	time.Sleep(4 * usageWindow)
 	close(stop)
--- a/review/_standins-3/client.go
+++ b/review/_standins-3/client.go
@@ -15,6 +15,8 @@
 	id, path, key string
 	body          string
 	deadline      time.Duration
+	// tokens is the number of tokens that the request states, 0 if it states none.
+	tokens int
 	// patience is the longest gap in a stream after which the client leaves it; 0 means
 	// that it waits until its deadline.
 	patience time.Duration
@@ -43,6 +45,9 @@
 		"POST " + c.path + " HTTP/1.1", "Host: desk.example", "X-Attempt-Id: " + c.id,
 		fmt.Sprintf("X-Deadline-Ms: %d", c.deadline.Milliseconds()), fmt.Sprintf("Content-Length: %d", len(c.body)),
 	}
+	if c.tokens > 0 {
+		lines = append(lines, "X-Model: m", fmt.Sprintf("X-Token-Usage: %d,%d", c.tokens-100, 100))
+	}
 	if c.key != "" {
 		lines = append(lines, "X-Credential: "+c.key)
 	}
--- a/review/_standins-3/store.go
+++ b/review/_standins-3/store.go
@@ -19,8 +19,6 @@
 type entry struct {
 	content []byte
 	at      time.Time
-	// outside is set for records that the operator or a worker wrote.
-	outside bool
 }
 
 // topicLog is partition 0 of a topic.
@@ -132,7 +130,7 @@
 	defer s.mu.Unlock()
 	t := s.topic(topic)
 	content := append([]byte{byte(len(key))}, key...)
-	t.records = append(t.records, entry{content: append(content, value...), at: time.Now(), outside: true})
+	t.records = append(t.records, entry{content: append(content, value...), at: time.Now()})
 	s.notify()
 }
 
@@ -262,17 +260,25 @@
 	}
 }
 
+// order is a record that the operator wrote.
+type order struct {
+	key   string
+	value []byte
+}
+
 // drill makes the store give no answers for a while and come back from a copy: what was written
-// since the copy was made is gone, and what the operator and the workers wrote of it is written
-// again, in the same order.
-func (s *store) drill(copiedAt time.Time, away time.Duration) {
+// since the copy was made is gone. It returns the operator's records among that, in their order,
+// which are to be written again. The workers write theirs again at their next heartbeat.
+func (s *store) drill(copiedAt time.Time, away time.Duration) []order {
 	s.mu.Lock()
 	s.away = true
 	s.notify()
 	s.mu.Unlock()
+	s.w.note("drill: the store is away")
 	time.Sleep(away)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var again []order
 	for name, t := range s.topics {
 		kept := 0
 		for kept < len(t.records) && t.records[kept].at.Before(copiedAt) {
@@ -280,17 +286,28 @@
 		}
 		lost := t.records[kept:]
 		t.records = append([]entry(nil), t.records[:kept]...)
-		again := 0
-		for _, one := range lost {
-			if one.outside {
-				one.at = time.Now()
-				t.records = append(t.records, one)
-				again++
+		for i := range t.records {
+			// No report of a worker expires before its next heartbeat.
+			t.records[i].at = time.Now()
+		}
+		if name == "keyed.op" {
+			for _, one := range lost {
+				key, value := split(one.content)
+				again = append(again, order{key, value})
 			}
 		}
-		s.w.note("drill: %s loses %d records, %d of them are written again", name, len(lost), again)
+		s.w.note("drill: %s ends at %d again, %d records are gone", name, kept, len(lost))
 	}
 	s.era++
 	s.away = false
 	s.notify()
+	return again
+}
+
+// writeAgain writes records of the operator again.
+func (s *store) writeAgain(orders []order) {
+	for _, one := range orders {
+		s.put("keyed.op", one.key, one.value)
+		s.w.note("keyed.op %s is written again", one.key)
+	}
 }
--- a/review/_standins-3/worker.go
+++ b/review/_standins-3/worker.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/textproto"
 	"os"
 	"strconv"
 	"strings"
@@ -19,9 +18,9 @@
 
 // workerOptions are the options of a worker process.
 type workerOptions struct {
-	id, listen, address, service, zone, version, store string
-	heartbeat, eventPause                              time.Duration
-	events, capacity                                   int
+	id, address, service, zone, version, store string
+	heartbeat                                  time.Duration
+	capacity                                   int
 }
 
 // worker is a sound worker as the pages describe it: it serves one request at a time on a
@@ -35,25 +34,19 @@
 	sequence int
 }
 
-// crashed is the exit code of a worker that a request has crashed.
-const crashed = 3
-
 func runWorker(args []string) {
 	w := &worker{born: time.Now().UnixMilli()}
 	flags := flag.NewFlagSet("worker", flag.ExitOnError)
 	flags.StringVar(&w.id, "id", "", "")
-	flags.StringVar(&w.listen, "listen", "", "the address that the worker listens on")
-	flags.StringVar(&w.address, "address", "", "the address that it reports")
+	flags.StringVar(&w.address, "address", "", "")
 	flags.StringVar(&w.service, "service", "", "")
 	flags.StringVar(&w.zone, "zone", "", "")
 	flags.StringVar(&w.version, "version", "v1", "")
 	flags.StringVar(&w.store, "store", "", "the URL of the store")
 	flags.DurationVar(&w.heartbeat, "heartbeat", 1200*time.Millisecond, "")
-	flags.DurationVar(&w.eventPause, "event-pause", 40*time.Millisecond, "")
-	flags.IntVar(&w.events, "events", 64, "the events of a stream")
 	flags.IntVar(&w.capacity, "capacity", 128, "")
 	_ = flags.Parse(args)
-	listener, err := net.Listen("tcp4", w.listen)
+	listener, err := net.Listen("tcp4", w.address)
 	if err != nil {
 		fmt.Println("cannot listen:", err)
 		os.Exit(1)
@@ -121,53 +114,10 @@
 		return err == nil
 	}
 	signature := "X-Response-Signature: " + w.id + "." + id
-	if strings.Contains(r.URL.Path, "/stream/") {
-		return w.stream(conn, r, id, head, signature)
-	}
 	w.say("runs %s", id)
-	if strings.HasSuffix(r.URL.Path, "/crash") {
-		w.say("crashes %s", id)
-		os.Exit(crashed)
-	}
 	time.Sleep(30 * time.Millisecond)
 	body := strings.Repeat("x", 800)
 	_, err := io.WriteString(conn, head("200 OK", signature, "Content-Length: "+strconv.Itoa(len(body)))+body)
 	w.say("ends %s", id)
 	return err == nil
 }
-
-// stream writes a stream of events. A path with /stream/plain/ asks for one that has neither
-// a length nor chunks and ends with its connection.
-func (w *worker) stream(conn net.Conn, r *http.Request, id string, head func(string, ...string) string, signature string) bool {
-	unframed := strings.Contains(r.URL.Path, "/plain/")
-	first := 1
-	if text := r.Header.Get(textproto.CanonicalMIMEHeaderKey("Last-Event-Id")); text != "" {
-		n, _ := strconv.Atoi(text)
-		first = n + 1
-	}
-	w.say("runs %s", id)
-	framing := "Transfer-Encoding: chunked"
-	if unframed {
-		framing = "Connection: close"
-	}
-	if _, err := io.WriteString(conn, head("200 OK", signature, "Content-Type: text/event-stream", framing)); err != nil {
-		return false
-	}
-	for n := first; n <= w.events; n++ {
-		time.Sleep(w.eventPause)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n, n, w.events)
-		if !unframed {
-			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
-		}
-		if _, err := io.WriteString(conn, event); err != nil {
-			w.say("broken off %s", id)
-			return false
-		}
-	}
-	w.say("ends %s", id)
-	if unframed {
-		return false
-	}
-	_, err := io.WriteString(conn, "0\r\n\r\n")
-	return err == nil
-}
--- a/review/_standins-3/world.go
+++ b/review/_standins-3/world.go
@@ -3,13 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -88,26 +87,19 @@
 	return cmd, nil
 }
 
-// runsOf returns the times at which workers began to work on the requests whose ID has a prefix.
-func (w *world) runsOf(prefix string) ([]time.Time, error) {
+// ran returns the IDs of the requests on which workers began to work.
+func (w *world) ran() (map[string]bool, error) {
 	runs, err := os.ReadFile(filepath.Join(w.temp, "workers.log"))
 	if err != nil {
 		return nil, err
 	}
-	var times []time.Time
+	ids := map[string]bool{}
 	for line := range strings.Lines(string(runs)) {
-		fields := strings.Fields(line)
-		if len(fields) != 4 || fields[2] != "runs" || !strings.HasPrefix(fields[3], prefix) {
-			continue
+		if fields := strings.Fields(line); len(fields) == 4 && fields[2] == "runs" {
+			ids[fields[3]] = true
 		}
-		ms, err := strconv.ParseInt(fields[0], 10, 64)
-		if err != nil {
-			return nil, err
-		}
-		times = append(times, time.UnixMilli(ms))
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times, nil
+	return ids, nil
 }
 
 // kill ends a process with SIGKILL and waits for its end.
@@ -136,14 +128,35 @@
 	}
 }
 
-// freePort returns a TCP port of an address that is free now.
+// Ports of hosts and workers are below those that the kernel gives to connections.
+const (
+	firstPort = 20000
+	ports     = 10000
+)
+
+// freePort returns a port of an address that is free now, for TCP and UDP.
 func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp4", ip+":0")
+	var err error
+	for range 20 {
+		port := firstPort + rand.IntN(ports)
+		if err = tryPort(fmt.Sprintf("%s:%d", ip, port)); err == nil {
+			return port, nil
+		}
+	}
+	return 0, err
+}
+
+func tryPort(address string) error {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	p, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return err
+	}
+	return p.Close()
 }
 
 // host is one gateway process on a loopback address of its own.
@@ -158,7 +171,7 @@
 }
 
 // newHost makes the settings of a host as deploy/gateway.tmpl does for a small deployment.
-func (w *world) newHost(name, ip, zone string, storeAddress string) (*host, error) {
+func (w *world) newHost(name, ip, zone string) (*host, error) {
 	var ports [5]int
 	for i := range ports {
 		port, err := freePort(ip)
@@ -172,7 +185,7 @@
 	settings, err := json.MarshalIndent(map[string]any{
 		"host": name, "address": ip, "availabilityZone": zone, "region": "bkk",
 		"listen":   map[string]any{"callers": h.callers, "readiness": h.ready, "directory": h.directory},
-		"peerPort": ports[3], "metricsPort": ports[4], "log": storeAddress, "cloud": w.cloud.address,
+		"peerPort": ports[3], "metricsPort": ports[4], "log": w.store.address, "cloud": w.cloud.address,
 		"gracePeriod": "8s", "revokeKeysWithin": "5000ms", "usageWindow": "5s", "dutyLease": "3000ms",
 		"retryBudget":    map[string]any{"ratio": 0.2, "slack": 54, "window": "10s"},
 		"quotaTolerance": map[string]any{"excess": 0.1, "slack": 140000, "window": "8s"},
