gateway: hosts say when the log came back from a copy

The record of the first matter can't tell whether the log came back from a copy: neither the reports nor our logs state the epoch that the log gives in each response (Store-Era). The client reads it now; positions in topics carry it, updates pass it on to followers, event 940 is logged when it rises, and the metric LogEpoch shows it.

--- a/internal/gateway/applier.go
+++ b/internal/gateway/applier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
@@ -18,8 +19,23 @@
 	copy *relay.Cache
 	// submit passes an input to the control loop.
 	submit func(ctx context.Context, input any)
+	// epochRose is called when an update has a later epoch of the log than all before.
+	epochRose func(from, to int64)
 
 	mu sync.Mutex
+	// epoch is the latest epoch of the log, known once something was read.
+	epoch atomic.Int64
+	read  bool
+}
+
+// noteEpoch records the epoch of an update. a.mu must be held.
+func (a *updateApplier) noteEpoch(epoch int64) {
+	before := a.epoch.Load()
+	if a.read && epoch > before {
+		a.epochRose(before, epoch)
+	}
+	a.epoch.Store(max(before, epoch))
+	a.read = true
 }
 
 // applyOperator applies operator changes from the response to a request sent at
@@ -27,6 +43,7 @@
 func (a *updateApplier) applyOperator(ctx context.Context, update catalog.OperatorUpdate, requestedAt time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noteEpoch(update.Epoch)
 	if a.copy.ApplyOperator(update, requestedAt) {
 		a.submit(ctx, control.OperatorRead{Update: update, RequestedAt: requestedAt})
 	}
@@ -36,6 +53,7 @@
 func (a *updateApplier) applyUpstreams(ctx context.Context, update catalog.UpstreamUpdate, requestedAt time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noteEpoch(update.Epoch)
 	if a.copy.ApplyUpstreams(update, requestedAt) {
 		a.submit(ctx, control.UpstreamsRead{Update: update, RequestedAt: requestedAt})
 	}
--- a/internal/gateway/applier_test.go
+++ b/internal/gateway/applier_test.go
@@ -31,8 +31,8 @@
 	}
 	go a.applyOperator(t.Context(), catalog.OperatorUpdate{Next: 5}, time.Second)
 	<-first
-	from, _ := a.copy.Offsets()
-	require.EqualValues(t, 5, from)
+	from, _ := a.copy.Positions()
+	require.EqualValues(t, 5, from.Offset)
 	a.applyOperator(t.Context(), catalog.OperatorUpdate{Next: 9}, 2*time.Second)
 	require.EqualValues(t, 5, <-submitted)
 	require.EqualValues(t, 9, <-submitted)
--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -3,7 +3,11 @@
 // once they are part of a View.
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
+)
 
 // Kind says whether the requests of a route may run more than once, and whether their
 // responses are streams.
@@ -169,8 +173,13 @@
 	Changes []C
 	// Whole is set when the changes replace everything known before.
 	Whole bool
-	// Next is the log offset to read from next.
-	Next int64
+	// Next is the log offset to read from next, and Epoch its epoch.
+	Next, Epoch int64
+}
+
+// Position returns the position to read from next.
+func (u Update[C]) Position() topic.Position {
+	return topic.Position{Epoch: u.Epoch, Offset: u.Next}
 }
 
 // OperatorUpdate holds changes by operators.
--- a/internal/gateway/compat_test.go
+++ b/internal/gateway/compat_test.go
@@ -32,7 +32,7 @@
 	var values map[string]json.RawMessage
 	require.NoError(t, json.Unmarshal(data, &values))
 	names := strings.Fields(`Answered Refused Cut Left Stray Held PoisonTrials Active LeavingUpstreams UpstreamPauses Dials LogLinesDropped LogLinesSampled
-		ConfigVersion ConfigAgeMs ListAgeMs Peers Holders DutyToken HeapBytes Goroutines LatencyMs ResidentBytes Connections ClosedIdle RefusedHeads
+		ConfigVersion ConfigAgeMs ListAgeMs LogEpoch Peers Holders DutyToken HeapBytes Goroutines LatencyMs ResidentBytes Connections ClosedIdle RefusedHeads
 		ForecastRefusals SharedPromptTokens HeldPromptTokens IndexedPrefixes EnginesWithSlowdown FastExchange ForecastErrorMs`)
 	require.ElementsMatch(t, names, slices.Collect(maps.Keys(values)))
 }
--- a/internal/gateway/duty/compat_test.go
+++ b/internal/gateway/duty/compat_test.go
@@ -60,17 +60,17 @@
 	put       duty.Ledger
 }
 
-func (l *formerLog) Newest(_ context.Context, name string) ([]topic.Entry, int64, error) {
+func (l *formerLog) Newest(_ context.Context, name string) ([]topic.Entry, topic.Position, error) {
 	require.Equal(l.t, "keyed.duty", name)
-	return []topic.Entry{{Key: "ledger", Value: l.former}}, 1, nil
+	return []topic.Entry{{Key: "ledger", Value: l.former}}, topic.Position{Offset: 1}, nil
 }
 
-func (l *formerLog) Put(_ context.Context, name, key string, value []byte, _ int64) (int64, error) {
+func (l *formerLog) Put(_ context.Context, name, key string, value []byte, _ topic.Position) (topic.Position, error) {
 	var err error
 	l.name, l.key = name, key
 	l.put, err = duty.ParseLedger(value)
 	require.NoError(l.t, err)
-	return 2, nil
+	return topic.Position{Offset: 2}, nil
 }
 
 func (l *formerLog) Now() time.Duration { return l.now }
--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -144,11 +144,11 @@
 	token       atomic.Int64
 	confirmedAt atomic.Int64
 
-	// ledger is the last known ledger, and endOffset the end of its topic, on
-	// which the next write is conditional.
-	ledger    Ledger
-	endOffset int64
-	held      bool
+	// ledger is the last known ledger, and end the end of its topic, on which the
+	// next write is conditional.
+	ledger Ledger
+	end    topic.Position
+	held   bool
 	// lostAt is the boot time at which this process last stepped down, or -1.
 	lostAt time.Duration
 	// noHolderSince is the boot time since which no holder was known.
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -117,32 +117,32 @@
 }
 
 // Newest implements topic.Keyed.
-func (h *host) Newest(context.Context, string) ([]topic.Entry, int64, error) {
+func (h *host) Newest(context.Context, string) ([]topic.Entry, topic.Position, error) {
 	if h.sim.logDown || h.logUnreachable {
-		return nil, 0, topic.ErrUnavailable
+		return nil, topic.Position{}, topic.ErrUnavailable
 	}
 	if h.sim.logEnd == 0 {
-		return nil, 0, nil
+		return nil, topic.Position{}, nil
 	}
-	return []topic.Entry{h.sim.newest}, h.sim.logEnd, nil
+	return []topic.Entry{h.sim.newest}, topic.Position{Offset: h.sim.logEnd}, nil
 }
 
 // Put implements topic.Keyed.
-func (h *host) Put(_ context.Context, _, key string, value []byte, at int64) (int64, error) {
+func (h *host) Put(_ context.Context, _, key string, value []byte, at topic.Position) (topic.Position, error) {
 	sim := h.sim
 	if sim.logDown || h.logUnreachable {
-		return 0, topic.ErrUnavailable
+		return topic.Position{}, topic.ErrUnavailable
 	}
 	if sim.random.Float64() < sim.lossRate {
-		sim.delayed = append(sim.delayed, delayedWrite{at: at, value: value, due: sim.now + time.Duration(sim.random.IntN(4000))*time.Millisecond})
-		return 0, topic.ErrOutcomeUnknown
+		sim.delayed = append(sim.delayed, delayedWrite{at: at.Offset, value: value, due: sim.now + time.Duration(sim.random.IntN(4000))*time.Millisecond})
+		return topic.Position{}, topic.ErrOutcomeUnknown
 	}
-	if at != sim.logEnd {
-		return 0, topic.ErrConflict
+	if at.Offset != sim.logEnd {
+		return topic.Position{}, topic.ErrConflict
 	}
 	sim.logEnd++
 	sim.newest = topic.Entry{Key: key, Value: value, Offset: sim.logEnd - 1}
-	return sim.logEnd, nil
+	return topic.Position{Offset: sim.logEnd}, nil
 }
 
 // ReportUsage implements duty.Cloud.
--- a/internal/gateway/duty/store.go
+++ b/internal/gateway/duty/store.go
@@ -12,7 +12,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 )
 
-// readLedger reads the ledger and its offset from the log. It reports whether it
+// readLedger reads the ledger and its position from the log. It reports whether it
 // succeeded.
 func (d *Driver) readLedger(ctx context.Context) bool {
 	entries, end, err := d.Log.Newest(ctx, ledgerTopic)
@@ -30,7 +30,7 @@
 			return false
 		}
 	}
-	d.ledger, d.endOffset = ledger, end
+	d.ledger, d.end = ledger, end
 	return true
 }
 
@@ -45,9 +45,9 @@
 		d.Events.Emit(eventLedgerFailed, zap.String("step", "encode"), event.Err(err))
 		return false
 	}
-	end, err := d.Log.Put(ctx, ledgerTopic, ledgerKey, data, d.endOffset)
+	end, err := d.Log.Put(ctx, ledgerTopic, ledgerKey, data, d.end)
 	if err == nil {
-		d.ledger, d.endOffset = next, end
+		d.ledger, d.end = next, end
 		d.confirm(requestedAt)
 		return true
 	}
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -63,10 +63,10 @@
 // readOperator reads the operators' changes; it waits for them if there are
 // none.
 func (g *Gateway) readOperator(ctx context.Context) (time.Duration, []error, error) {
-	from, _ := g.updates.copy.Offsets()
+	from, _ := g.updates.copy.Positions()
 	requestedAt := boottime.Now()
 	update, decodeErrs, err := g.ports.Feed.ReadOperator(ctx, from, relay.Wait(g.viewAge(requestedAt)))
-	if err != nil || update.Next < from {
+	if err != nil || update.Next < from.Offset {
 		return minReadBackoff, decodeErrs, err
 	}
 	g.updates.applyOperator(ctx, update, requestedAt)
@@ -75,7 +75,7 @@
 
 // readUpstreams reads the upstreams' reports.
 func (g *Gateway) readUpstreams(ctx context.Context) (time.Duration, []error, error) {
-	_, from := g.updates.copy.Offsets()
+	_, from := g.updates.copy.Positions()
 	requestedAt := boottime.Now()
 	update, decodeErrs, err := g.ports.Feed.ReadUpstreams(ctx, from)
 	if err == nil {
@@ -161,8 +161,11 @@
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		operator, upstreams := g.updates.copy.Offsets()
-		resp, err := client.Read(ctx, reader, relay.Request{Operator: operator, Upstreams: upstreams, Wait: relay.Wait(age)})
+		operator, upstreams := g.updates.copy.Positions()
+		resp, err := client.Read(ctx, reader, relay.Request{
+			Operator: operator.Offset, OperatorEpoch: operator.Epoch, Upstreams: upstreams.Offset, UpstreamsEpoch: upstreams.Epoch,
+			Wait: relay.Wait(age),
+		})
 		if err != nil {
 			selector.MarkFailed(reader, boottime.Now())
 			lost[reader] = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	eventServerError   = event.Define(932, zapcore.WarnLevel, "server reports an error")
 	eventCut           = event.Define(933, zapcore.WarnLevel, "connections in use were closed")
 	eventCrowded       = event.Define(937, zapcore.WarnLevel, "connections made room for others")
+	eventEpochRose     = event.Define(940, zapcore.WarnLevel, "log came back from a copy")
 	eventPlacement     = event.Define(938, zapcore.InfoLevel, "placement by expected wait switched")
 )
 
@@ -74,15 +75,15 @@
 type Feed interface {
 	topic.Keyed
 	duty.RolloutReporter
-	// ReadOperator returns the operators' changes from an offset on, or
-	// everything in effect if the offset is negative. If there are no changes, it
+	// ReadOperator returns the operators' changes from a position on, or
+	// everything in effect if its offset is negative. If there are no changes, it
 	// waits for one for at most wait. The second result holds the errors of
 	// changes that cannot be decoded.
-	ReadOperator(ctx context.Context, from int64, wait time.Duration) (catalog.OperatorUpdate, []error, error)
-	// ReadUpstreams returns the upstreams' reports from an offset on, or the
-	// newest of each upstream if the offset is negative. The second result holds
+	ReadOperator(ctx context.Context, from topic.Position, wait time.Duration) (catalog.OperatorUpdate, []error, error)
+	// ReadUpstreams returns the upstreams' reports from a position on, or the
+	// newest of each upstream if its offset is negative. The second result holds
 	// the errors of reports that cannot be decoded.
-	ReadUpstreams(ctx context.Context, from int64) (catalog.UpstreamUpdate, []error, error)
+	ReadUpstreams(ctx context.Context, from topic.Position) (catalog.UpstreamUpdate, []error, error)
 }
 
 // Directory lists the addresses of hosts for callers.
@@ -183,7 +184,7 @@
 	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, g)
 	g.inFlight = inflight.NewTracker(g.remoteTokens)
 	g.observed = observation.NewRecorder(g.peerAddress)
-	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit}
+	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit, epochRose: g.reportEpoch}
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
 		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Observed: g.observed, Usage: g.usage, Events: events,
@@ -266,6 +267,16 @@
 	g.reportPlacement(doc)
 }
 
+// reportEpoch emits an event about a new epoch of the log.
+func (g *Gateway) reportEpoch(from, to int64) {
+	view := g.loop.Snapshot().View
+	fields := []zap.Field{zap.Int64("from", from), zap.Int64("to", to), zap.Duration("age", g.viewAge(boottime.Now()))}
+	if view.Document != nil {
+		fields = append(fields, zap.Int64("version", view.Document.Version))
+	}
+	g.events.Emit(eventEpochRose, fields...)
+}
+
 // PeerUp implements control.Observer.
 func (g *Gateway) PeerUp(d members.Digest) {
 	g.events.Emit(eventPeerUp, zap.String("peer", d.Host), zap.Uint64("incarnation", d.Incarnation))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -95,7 +95,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "encode the host's record")
 		}
-		_, writeErr = g.ports.Feed.Put(ctx, hostsTopic, g.options.Host, record, topic.AnyOffset)
+		_, writeErr = g.ports.Feed.Put(ctx, hostsTopic, g.options.Host, record, topic.Anywhere)
 		*written = writeErr == nil
 	}
 	entries, _, err := g.ports.Feed.Newest(ctx, hostsTopic)
--- a/internal/gateway/relay/history_test.go
+++ b/internal/gateway/relay/history_test.go
@@ -77,7 +77,10 @@
 	source := rapid.IntRange(-2, len(h.hosts)-1).Draw(h.t, "source")
 	var request relay.Request
 	var response relay.Response
-	h.at(requestedAt, func() { request.Operator, request.Upstreams = requester.copy.Offsets() })
+	h.at(requestedAt, func() {
+		operator, upstreams := requester.copy.Positions()
+		request.Operator, request.Upstreams = operator.Offset, upstreams.Offset
+	})
 	h.at(respondedAt, func() {
 		if source < 0 {
 			response = h.fromLog(request, respondedAt)
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 )
 
 // Request is a follower's request to a reader.
@@ -17,6 +18,8 @@
 	// Operator and Upstreams are the offsets up to which the follower has read,
 	// -1 if it has read nothing.
 	Operator, Upstreams int64
+	// OperatorEpoch and UpstreamsEpoch are the epochs of these offsets.
+	OperatorEpoch, UpstreamsEpoch int64
 	// Wait is how long the reader may wait for changes before it responds.
 	Wait time.Duration
 }
@@ -91,11 +94,12 @@
 	return applied
 }
 
-// Offsets returns the offsets from which to read next, -1 before the first read.
-func (c *Cache) Offsets() (operator, upstreams int64) {
+// Positions returns the positions from which to read next, topic.Unread before the first
+// read.
+func (c *Cache) Positions() (operator, upstreams topic.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.operator.table.next, c.upstreams.table.next
+	return c.operator.table.position(), c.upstreams.table.position()
 }
 
 // Respond returns the response to a follower's request that was received at a
--- a/internal/gateway/relay/relay_test.go
+++ b/internal/gateway/relay/relay_test.go
@@ -93,8 +93,8 @@
 }
 
 func operatorOffset(c *relay.Cache) int64 {
-	at, _ := c.Offsets()
-	return at
+	at, _ := c.Positions()
+	return at.Offset
 }
 
 // A follower of any readers in any order ends with the same view as a host that
@@ -109,13 +109,13 @@
 		now := time.Second
 		follow := func(reader *relay.Cache) {
 			now += time.Millisecond
-			operator, upstreams := own.Offsets()
-			response := reader.Respond(t.Context(), relay.Request{Operator: operator, Upstreams: upstreams}, now)
-			if response.Operator.Next >= max(operator, 0) {
+			operator, upstreams := own.Positions()
+			response := reader.Respond(t.Context(), relay.Request{Operator: operator.Offset, Upstreams: upstreams.Offset}, now)
+			if response.Operator.Next >= max(operator.Offset, 0) {
 				own.ApplyOperator(response.Operator, now-response.OperatorAge)
 				follower.ApplyOperator(response.Operator, now-response.OperatorAge)
 			}
-			if response.Upstreams.Next >= max(upstreams, 0) {
+			if response.Upstreams.Next >= max(upstreams.Offset, 0) {
 				own.ApplyUpstreams(response.Upstreams, now-response.UpstreamsAge)
 				follower.ApplyUpstreams(response.Upstreams, now-response.UpstreamsAge)
 			}
--- a/internal/gateway/relay/table.go
+++ b/internal/gateway/relay/table.go
@@ -1,6 +1,9 @@
 package relay
 
-import "github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+import (
+	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
+)
 
 // removalRetention is the number of offsets for which a table keeps the removal
 // of an entry. Followers that are further behind get the whole table.
@@ -33,6 +36,8 @@
 	// next is the offset from which to read next, -1 before the first read. All
 	// removals since removalsFrom are known.
 	next, removalsFrom int64
+	// epoch is the epoch of next.
+	epoch int64
 }
 
 func newTable[C any](k changeKind[C]) *table[C] {
@@ -45,7 +50,7 @@
 
 // apply applies an update and reports whether followers must be notified.
 func (t *table[C]) apply(u catalog.Update[C]) bool {
-	t.next = u.Next
+	t.next, t.epoch = u.Next, u.Epoch
 	changed := false
 	if u.Whole {
 		// Entries that were added and removed since the last read are unknown.
@@ -59,6 +64,14 @@
 	return changed
 }
 
+// position returns the position from which to read next.
+func (t *table[C]) position() topic.Position {
+	if t.next < 0 {
+		return topic.Unread
+	}
+	return topic.Position{Epoch: t.epoch, Offset: t.next}
+}
+
 func (t *table[C]) put(change C) bool {
 	key := t.kind.key(change)
 	if old, known := t.entries[key]; known && t.kind.redundant(old.change, change) {
@@ -112,7 +125,7 @@
 // updateSince returns the changes that a follower lacks that has read up to an
 // offset.
 func (t *table[C]) updateSince(from int64) catalog.Update[C] {
-	u := catalog.Update[C]{Next: t.next, Whole: t.next >= 0 && from < t.removalsFrom}
+	u := catalog.Update[C]{Next: t.next, Epoch: t.epoch, Whole: t.next >= 0 && from < t.removalsFrom}
 	for _, e := range t.entries {
 		missing := e.offset > from
 		if u.Whole {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -150,6 +150,7 @@
 	LogLinesDropped, LogLinesSampled    int64
 	ConfigVersion                       int64
 	ConfigAgeMs, ListAgeMs              int64
+	LogEpoch                            int64
 	Peers, Holders                      int
 	DutyToken                           int64
 	HeapBytes, ResidentBytes            uint64
@@ -178,7 +179,8 @@
 		LeavingUpstreams: g.stats.LeavingUpstreams.Load(), UpstreamPauses: g.stats.UpstreamPauses.Load(), Dials: g.pool.Dials(),
 		LogLinesDropped: g.sink.Dropped(), LogLinesSampled: g.sink.Sampled(),
 		ConfigAgeMs: (now - s.View.ConfirmedAt).Milliseconds(), ListAgeMs: (now - s.View.ListedAt).Milliseconds(),
-		Peers: len(s.Peers), Holders: s.SenderCount, DutyToken: token,
+		LogEpoch: g.updates.epoch.Load(),
+		Peers:    len(s.Peers), Holders: s.SenderCount, DutyToken: token,
 		HeapBytes: memory.HeapAlloc, ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(),
 		Connections: map[string]int{}, ClosedIdle: g.gate.ClosedIdle(), RefusedHeads: g.gate.RefusedHeads(), LatencyMs: g.stats.LatencyQuantiles(),
 	}
