platform, relay: a reader misses nothing behind a log that came back from a copy

Cause: a position in the log was an offset only. Behind a drill offsets go back and are given out again, so a host read on at its old offset: nothing until the end grew past it (each response counted as stale), then what came after it, without the records before.

Fix: a position is an epoch and an offset. Readers give their followers the whole table if their epochs differ, and updates of a later epoch apply only if they are whole.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -174,7 +174,8 @@
 	// Whole is set when the changes replace everything known before.
 	Whole bool
 	// Next is the log offset to read from next, and Epoch its epoch.
-	Next, Epoch int64
+	Next  int64
+	Epoch int64 `msgpack:",omitempty"`
 }
 
 // Position returns the position to read from next.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -66,7 +66,7 @@
 	from, _ := g.updates.copy.Positions()
 	requestedAt := boottime.Now()
 	update, decodeErrs, err := g.ports.Feed.ReadOperator(ctx, from, relay.Wait(g.viewAge(requestedAt)))
-	if err != nil || update.Next < from.Offset {
+	if err != nil || update.Position().Before(from) {
 		return minReadBackoff, decodeErrs, err
 	}
 	g.updates.applyOperator(ctx, update, requestedAt)
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -19,11 +19,20 @@
 	// -1 if it has read nothing.
 	Operator, Upstreams int64
 	// OperatorEpoch and UpstreamsEpoch are the epochs of these offsets.
-	OperatorEpoch, UpstreamsEpoch int64
+	OperatorEpoch  int64 `msgpack:",omitempty"`
+	UpstreamsEpoch int64 `msgpack:",omitempty"`
 	// Wait is how long the reader may wait for changes before it responds.
 	Wait time.Duration
 }
 
+func (r Request) operator() topic.Position {
+	return topic.Position{Epoch: r.OperatorEpoch, Offset: r.Operator}
+}
+
+func (r Request) upstreams() topic.Position {
+	return topic.Position{Epoch: r.UpstreamsEpoch, Offset: r.Upstreams}
+}
+
 // Response holds the changes that a follower lacks.
 type Response struct {
 	Operator  catalog.OperatorUpdate
@@ -45,7 +54,7 @@
 // applyUpdate applies the response to a request that was sent at a boot time. It
 // reports whether the update was applied, and whether followers must be notified.
 func (t *cachedTopic[C]) applyUpdate(u catalog.Update[C], requestedAt time.Duration) (applied, changed bool) {
-	if !t.table.accepts(u.Next) {
+	if !t.table.accepts(u) {
 		return false, false
 	}
 	t.confirmedAt = max(t.confirmedAt, requestedAt)
@@ -111,7 +120,7 @@
 	for {
 		c.mu.Lock()
 		changed := c.changed
-		due := c.operator.table.hasChanges(r.Operator) || c.upstreams.table.hasChanges(r.Upstreams)
+		due := c.operator.table.hasChanges(r.operator()) || c.upstreams.table.hasChanges(r.upstreams())
 		c.mu.Unlock()
 		if due {
 			return c.response(r, receivedAt)
@@ -130,8 +139,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Response{
-		Operator:    c.operator.table.updateSince(r.Operator),
-		Upstreams:   c.upstreams.table.updateSince(r.Upstreams),
+		Operator:    c.operator.table.updateSince(r.operator()),
+		Upstreams:   c.upstreams.table.updateSince(r.upstreams()),
 		OperatorAge: receivedAt - c.operator.confirmedAt, UpstreamsAge: receivedAt - c.upstreams.confirmedAt,
 	}
 }
--- a/internal/gateway/relay/table.go
+++ b/internal/gateway/relay/table.go
@@ -44,18 +44,27 @@
 	return &table[C]{kind: k, entries: map[string]entry[C]{}, next: -1}
 }
 
-// accepts reports whether an update up to an offset is at least as new as the
-// table; a negative offset means that nothing was read.
-func (t *table[C]) accepts(next int64) bool { return next >= max(t.next, 0) }
+// accepts reports whether an update is at least as new as the table and can be applied to
+// it: nothing is known of what precedes the changes of a later epoch, unless they are whole.
+// A negative offset means that nothing was read.
+func (t *table[C]) accepts(u catalog.Update[C]) bool {
+	if u.Next < 0 || u.Position().Before(t.position()) {
+		return false
+	}
+	return u.Whole || u.Epoch == t.epoch
+}
 
 // apply applies an update and reports whether followers must be notified.
 func (t *table[C]) apply(u catalog.Update[C]) bool {
+	changed := u.Epoch != t.epoch
+	if changed {
+		t.restamp(u.Next)
+	}
 	t.next, t.epoch = u.Next, u.Epoch
-	changed := false
 	if u.Whole {
 		// Entries that were added and removed since the last read are unknown.
 		t.removalsFrom = u.Next
-		changed = t.removeMissing(u.Changes)
+		changed = t.removeMissing(u.Changes) || changed
 	}
 	for _, change := range u.Changes {
 		changed = t.put(change) || changed
@@ -64,6 +73,14 @@
 	return changed
 }
 
+// restamp gives all entries the same offset, that at which an epoch is first read.
+func (t *table[C]) restamp(offset int64) {
+	for key, e := range t.entries {
+		e.offset = offset
+		t.entries[key] = e
+	}
+}
+
 // position returns the position from which to read next.
 func (t *table[C]) position() topic.Position {
 	if t.next < 0 {
@@ -105,29 +122,33 @@
 	}
 }
 
-// hasChanges reports whether a follower that has read up to an offset lacks
-// changes.
-func (t *table[C]) hasChanges(from int64) bool {
-	if t.next < 0 || from > t.next {
+// hasChanges reports whether a follower that has read up to a position lacks changes.
+func (t *table[C]) hasChanges(from topic.Position) bool {
+	if t.next < 0 || t.position().Before(from) {
 		return false
 	}
-	if from < t.removalsFrom {
+	if t.lacksRemovals(from) {
 		return true
 	}
 	for _, e := range t.entries {
-		if e.offset > from {
+		if e.offset > from.Offset {
 			return true
 		}
 	}
 	return false
 }
 
-// updateSince returns the changes that a follower lacks that has read up to an
-// offset.
-func (t *table[C]) updateSince(from int64) catalog.Update[C] {
-	u := catalog.Update[C]{Next: t.next, Epoch: t.epoch, Whole: t.next >= 0 && from < t.removalsFrom}
+// lacksRemovals reports whether a follower that has read up to a position needs the whole
+// table to know what was removed since.
+func (t *table[C]) lacksRemovals(from topic.Position) bool {
+	return from.Epoch != t.epoch || from.Offset < t.removalsFrom
+}
+
+// updateSince returns the changes that a follower lacks that has read up to a position.
+func (t *table[C]) updateSince(from topic.Position) catalog.Update[C] {
+	u := catalog.Update[C]{Next: t.next, Epoch: t.epoch, Whole: t.next >= 0 && t.lacksRemovals(from)}
 	for _, e := range t.entries {
-		missing := e.offset > from
+		missing := e.offset > from.Offset
 		if u.Whole {
 			missing = !t.kind.isRemoval(e.change)
 		}
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 )
 
 // Reports expire during a log outage although their upstreams may be alive. Those
@@ -40,12 +41,12 @@
 	listedAt    time.Duration
 	// outageEndedAt is the boot time at which the first successful request after
 	// the last outage was sent, 0 if there was no outage.
-	outageEndedAt   time.Duration
-	upstreams       map[string]*upstreamState
-	excludedZones   map[string]bool
-	rollouts        map[string]catalog.Rollout
-	operatorOffset  int64
-	upstreamsOffset int64
+	outageEndedAt time.Duration
+	upstreams     map[string]*upstreamState
+	excludedZones map[string]bool
+	rollouts      map[string]catalog.Rollout
+	operatorAt    topic.Position
+	upstreamsAt   topic.Position
 	// dirty is set when an update was applied after cached was built.
 	dirty   bool
 	changes []Change
@@ -91,7 +92,7 @@
 func NewBuilder() *Builder {
 	return &Builder{
 		upstreams: map[string]*upstreamState{}, excludedZones: map[string]bool{},
-		rollouts: map[string]catalog.Rollout{}, operatorOffset: -1, upstreamsOffset: -1, dirty: true,
+		rollouts: map[string]catalog.Rollout{}, operatorAt: topic.Unread, upstreamsAt: topic.Unread, dirty: true,
 	}
 }
 
@@ -100,10 +101,10 @@
 // before. It reports whether the Document changed; changes of excluded zones and of
 // rollouts do not count.
 func (b *Builder) ApplyOperator(update catalog.OperatorUpdate, requestedAt time.Duration) bool {
-	if update.Next < b.operatorOffset {
+	if update.Position().Before(b.operatorAt) {
 		return false
 	}
-	b.operatorOffset = update.Next
+	b.operatorAt = update.Position()
 	b.confirmedAt = max(b.confirmedAt, requestedAt)
 	b.dirty = true
 	if update.Whole {
@@ -148,13 +149,13 @@
 // sent at the boot time requestedAt. It ignores an update older than one applied
 // before.
 func (b *Builder) ApplyUpstreams(update catalog.UpstreamUpdate, requestedAt time.Duration) {
-	if update.Next < b.upstreamsOffset {
+	if update.Position().Before(b.upstreamsAt) {
 		return
 	}
 	if b.listedAt > 0 && requestedAt-b.listedAt > outageAfter {
 		b.outageEndedAt = requestedAt
 	}
-	b.upstreamsOffset = update.Next
+	b.upstreamsAt = update.Position()
 	b.listedAt = max(b.listedAt, requestedAt)
 	b.dirty = true
 	if update.Whole {
