platform: a conditional write is fenced by the epoch of the log

What callers saw: two holders of the duties behind a drill of the store (ONE). The store compares offsets only, and they are given out again behind a copy, so a write on the knowledge of a former epoch could succeed and was taken for confirmed.

Fix: the outcome of a conditional write that is answered in another epoch than its position's is unknown.

--- a/internal/gateway/topic/topic.go
+++ b/internal/gateway/topic/topic.go
@@ -56,7 +56,8 @@
 	// Newest returns the newest record of each key and the topic's end.
 	Newest(ctx context.Context, topic string) ([]Entry, Position, error)
 	// Put writes a record of a key. With a position at the write takes effect only
-	// while the topic ends at its offset; with Anywhere it always does. It returns the
-	// topic's new end.
+	// while the topic ends at its offset; with Anywhere it always does. In another epoch than
+	// the position's the outcome is unknown: the offset may have been given out again. It
+	// returns the topic's new end.
 	Put(ctx context.Context, topic, key string, value []byte, at Position) (Position, error)
 }
