duty: tokens are given out once behind a log that came back from a copy

Cause: the next token, the reported windows and the holder were taken from the ledger in the log only, which a copy takes back.

Fix: the token of a claim in an epoch contains the epoch and the offset of its write, which succeeds once. A ledger whose token is of an earlier epoch names no holder: another host claims once it has seen it for as long as a holder may act. It reports no window that ended before then, unless it wrote the report itself. The holder goes on from its own ledger, with a new token, if no other host can have claimed meanwhile. In a later epoch any host that has held the duties or started lately waits its lease, since the ledger doesn't tell who held them between (TestHoldersDoNotAlternateBehindADrill).

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -149,6 +149,8 @@
 	ledger Ledger
 	end    topic.Position
 	held   bool
+	// written is the last ledger that this process is known to have written as holder.
+	written Ledger
 	// lostAt is the boot time at which this process last stepped down, or -1.
 	lostAt time.Duration
 	// noHolderSince is the boot time since which no holder was known.
@@ -156,10 +158,9 @@
 	// writtenAt is the boot time of the request of the last confirmed write.
 	writtenAt   time.Duration
 	pausedUntil time.Duration
-	// watchedWriteID is the WriteID of the last write of another holder, first seen
-	// at watchedAt.
-	watchedWriteID uint64
-	watchedAt      time.Duration
+	// watched is the last write that this host did not make, first seen at watchedAt.
+	watched   ledgerWrite
+	watchedAt time.Duration
 	// reported holds the windows that this holder has reported.
 	reported map[int64]bool
 	// counts holds the counts of recent windows by window and incarnation, from this
@@ -170,6 +171,12 @@
 	shares atomic.Pointer[[]members.VersionShare]
 }
 
+// ledgerWrite identifies a write of the ledger as it is read in an epoch of the log.
+type ledgerWrite struct {
+	id    uint64
+	epoch int64
+}
+
 // NewDriver returns a driver that does not hold the duties.
 func NewDriver(deps Deps) *Driver {
 	if deps.Clock == nil {
@@ -225,7 +232,7 @@
 	case d.held && holder != nil && holder.LedgerToken > d.ledger.Token:
 		d.stepDown("a newer holder is heard", now)
 	case d.held && d.stopping.Load():
-		if d.writeLedger(ctx, d.ledger.Release()) {
+		if d.writeLedger(ctx, d.renewed(d.ledger).Release()) {
 			d.stepDown("host stops", now)
 		}
 	case d.held:
@@ -302,14 +309,13 @@
 	if !d.readLedger(ctx) {
 		return
 	}
-	if d.ledger.Replaced(d.Host) && now-max(d.lostAt, d.started) < d.Lease+leaseMargin {
+	if d.mayHaveBeenReplaced() && now-max(d.lostAt, d.started) < d.Lease+leaseMargin {
 		return
 	}
 	if d.holderActive(now) {
 		return
 	}
-	claimed := d.ledger.Claim(d.Host, d.Incarnation, d.oldestWindow())
-	if !d.writeLedger(ctx, claimed.Merge(d.counts)) {
+	if !d.writeLedger(ctx, d.claimed(now).Merge(d.counts)) {
 		return
 	}
 	d.held = true
@@ -317,6 +323,39 @@
 	d.Events.Emit(eventClaimed, zap.Int64("token", d.ledger.Token), zap.Strings("recent", d.ledger.RecentHolders))
 }
 
+// mayHaveBeenReplaced reports whether another host may have held the duties since this one
+// did. Behind a copy the ledger does not tell: it may lack the latest holders, and so may
+// those that follow it.
+func (d *Driver) mayHaveBeenReplaced() bool {
+	return d.end.Epoch > 0 || d.ledger.Replaced(d.Host)
+}
+
+// claimed returns the ledger that claims the duties for this host.
+//
+// Scenario: the log comes back from a copy without the reports that its last holder has
+// sent, and that holder is gone. Its windows ended before the copy's ledger was seen here,
+// less the settle delay; counts of them could differ from those it has sent.
+func (d *Driver) claimed(now time.Duration) Ledger {
+	if d.ledger.OfEpoch(d.end.Epoch) {
+		return d.ledger.Claim(d.Host, d.Incarnation, d.oldestWindow(), d.end)
+	}
+	base := d.ledger
+	if d.written.Token >= base.Token {
+		base = d.written
+	}
+	seenAt := d.Clock.Wall().Add(d.watchedAt - now)
+	base = base.WithoutReportsBefore(d.Usage.Window(seenAt), d.written.Reports)
+	return base.Claim(d.Host, d.Incarnation, d.oldestWindow(), d.end)
+}
+
+// renewed returns a ledger of this holder with a token of the epoch of the log.
+func (d *Driver) renewed(l Ledger) Ledger {
+	if l.OfEpoch(d.end.Epoch) {
+		return l
+	}
+	return l.Claim(d.Host, d.Incarnation, d.oldestWindow(), d.end)
+}
+
 // oldestWindow returns the first window of which this host has counts, or the
 // current one if there is none.
 func (d *Driver) oldestWindow() int64 {
@@ -330,12 +369,13 @@
 // holderActive reports whether the ledger's holder may still write: it did not
 // release the duties, and its last write was first seen less than ledgerIdleAfter
 // ago. The write is observed in the log since digests of a live holder may be lost.
+// A ledger of an earlier epoch does not name the holder, so any host may write.
 func (d *Driver) holderActive(now time.Duration) bool {
-	if d.ledger.Holder == "" || d.ledger.Holder == d.Host {
+	if d.ledger.OfEpoch(d.end.Epoch) && (d.ledger.Holder == "" || d.ledger.Holder == d.Host) {
 		return false
 	}
-	if d.ledger.WriteID != d.watchedWriteID {
-		d.watchedWriteID, d.watchedAt = d.ledger.WriteID, now
+	if seen := (ledgerWrite{d.ledger.WriteID, d.end.Epoch}); seen != d.watched {
+		d.watched, d.watchedAt = seen, now
 	}
 	return now-d.watchedAt < ledgerIdleAfter
 }
@@ -350,7 +390,7 @@
 	unsettled := d.firstUnsettled(s, wall)
 	rolloutsChanged := d.stepRollouts(s, now)
 	if rolloutsChanged || unsettled > d.ledger.NextWindow || now-d.writtenAt >= checkpointInterval {
-		if !d.writeLedger(ctx, d.ledger.Merge(d.counts).FinalizeReports(unsettled).WithRollouts(d.runs)) {
+		if !d.writeLedger(ctx, d.renewed(d.ledger).Merge(d.counts).FinalizeReports(unsettled).WithRollouts(d.runs)) {
 			d.pausedUntil = d.Clock.Now() + callRetryDelay
 			return
 		}
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,9 +34,10 @@
 	random *rand.Rand
 	hosts  []*host
 
-	// newest is the newest record of the log.
-	newest topic.Entry
-	logEnd int64
+	// records holds the log; its position is the end.
+	records []record
+	// epoch rises with each drill.
+	epoch int64
 	// delayed holds writes whose callers got no response; they are applied later
 	// if the log still ends at their offset.
 	delayed []delayedWrite
@@ -43,7 +46,11 @@
 	lossRate float64
 	logDown  bool
 
-	calls []call
+	// lateCalls holds usage reports without a response that are yet to be carried out.
+	lateCalls []lateCall
+	calls     []call
+	// tokens holds the hosts that used the tokens.
+	tokens map[int64]string
 	// fence is the highest fencing token that the cloud API received.
 	fence int64
 	// reports holds the counts reported for each window.
@@ -52,12 +59,23 @@
 	violation string
 }
 
+type record struct {
+	value []byte
+	at    time.Duration
+}
+
 type delayedWrite struct {
 	at    int64
 	value []byte
 	due   time.Duration
 }
 
+type lateCall struct {
+	token  int64
+	report duty.Report
+	due    time.Duration
+}
+
 type call struct {
 	host  string
 	token int64
@@ -69,6 +87,8 @@
 	name   string
 	driver *duty.Driver
 	usage  *usage.Counter
+	// skew is how far the host's time of day is ahead.
+	skew time.Duration
 	// incarnation identifies the host's process.
 	incarnation uint64
 	// partitioned is set when the host exchanges no digests with others.
@@ -85,14 +105,22 @@
 	h.driver.Stop()
 }
 
-func (sim *simulation) Now() time.Duration { return sim.now }
-func (sim *simulation) Wall() time.Time    { return time.Unix(1_700_000_000, 0).Add(sim.now) }
+// Now implements duty.Clock.
+func (h *host) Now() time.Duration { return h.sim.now }
+
+// Wall implements duty.Clock.
+func (h *host) Wall() time.Time { return h.sim.Wall().Add(h.skew) }
+
+func (sim *simulation) Wall() time.Time { return time.Unix(1_700_000_000, 0).Add(sim.now) }
 
 func (sim *simulation) start(i int) {
 	h := &host{sim: sim, name: fmt.Sprint("host-", i), usage: usage.NewCounter(window), incarnation: sim.random.Uint64(), alive: true}
+	if sim.hosts[i] != nil {
+		h.skew = sim.hosts[i].skew
+	}
 	h.driver = duty.NewDriver(duty.Deps{
-		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage,
-		Events: event.Discard(), Lease: lease, Clock: sim,
+		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage, Planner: h,
+		Events: event.Discard(), Lease: lease, Clock: h,
 	})
 	sim.hosts[i] = h
 }
@@ -110,7 +138,7 @@
 		}
 		token, age := other.driver.HeldToken()
 		s.Peers = append(s.Peers, &members.Peer{Digest: members.Digest{
-			Host: other.name, Incarnation: other.incarnation, Ready: true, Stopping: other.stopping, LedgerToken: token, LedgerAge: age, Usage: other.usage.Recent(h.sim.Wall()),
+			Host: other.name, Incarnation: other.incarnation, Ready: true, Stopping: other.stopping, LedgerToken: token, LedgerAge: age, Usage: other.usage.Recent(other.Wall()),
 		}})
 	}
 	return s
@@ -121,14 +149,39 @@
 	if h.sim.logDown || h.logUnreachable {
 		return nil, topic.Position{}, topic.ErrUnavailable
 	}
-	if h.sim.logEnd == 0 {
-		return nil, topic.Position{}, nil
+	return h.sim.newest(), h.sim.end(), nil
+}
+
+// newest returns the newest record of the log, if there is one.
+func (sim *simulation) newest() []topic.Entry {
+	if len(sim.records) == 0 {
+		return nil
+	}
+	last := len(sim.records) - 1
+	return []topic.Entry{{Key: "ledger", Value: sim.records[last].value, Offset: int64(last)}}
+}
+
+func (sim *simulation) end() topic.Position {
+	return topic.Position{Epoch: sim.epoch, Offset: int64(len(sim.records))}
+}
+
+// restoreCopy replaces the log by a copy of an age.
+func (sim *simulation) restoreCopy(age time.Duration) {
+	sim.records = slices.DeleteFunc(sim.records, func(r record) bool { return r.at > sim.now-age })
+	sim.epoch++
+}
+
+// appendAt appends a record if the log ends at an offset. The log knows no epoch of its writers.
+func (sim *simulation) appendAt(offset int64, value []byte) bool {
+	if offset != sim.end().Offset {
+		return false
 	}
-	return []topic.Entry{h.sim.newest}, topic.Position{Offset: h.sim.logEnd}, nil
+	sim.records = append(sim.records, record{value: value, at: sim.now})
+	return true
 }
 
 // Put implements topic.Keyed.
-func (h *host) Put(_ context.Context, _, key string, value []byte, at topic.Position) (topic.Position, error) {
+func (h *host) Put(_ context.Context, _, _ string, value []byte, at topic.Position) (topic.Position, error) {
 	sim := h.sim
 	if sim.logDown || h.logUnreachable {
 		return topic.Position{}, topic.ErrUnavailable
@@ -137,12 +190,14 @@
 		sim.delayed = append(sim.delayed, delayedWrite{at: at.Offset, value: value, due: sim.now + time.Duration(sim.random.IntN(4000))*time.Millisecond})
 		return topic.Position{}, topic.ErrOutcomeUnknown
 	}
-	if at.Offset != sim.logEnd {
+	appended := sim.appendAt(at.Offset, value)
+	switch {
+	case at.Epoch != sim.epoch:
+		return topic.Position{}, topic.ErrOutcomeUnknown
+	case !appended:
 		return topic.Position{}, topic.ErrConflict
 	}
-	sim.logEnd++
-	sim.newest = topic.Entry{Key: key, Value: value, Offset: sim.logEnd - 1}
-	return topic.Position{Offset: sim.logEnd}, nil
+	return sim.end(), nil
 }
 
 // ReportUsage implements duty.Cloud.
@@ -153,34 +208,72 @@
 		sim.violation = fmt.Sprintf("call at %v with a permission until %v", sim.now, grant.Until)
 	}
 	sim.checkCall(h, token)
-	if token < sim.fence {
+	if sim.random.Float64() < sim.lossRate/2 {
+		sim.lateCalls = append(sim.lateCalls, lateCall{token, report, sim.now + time.Duration(sim.random.IntN(4000))*time.Millisecond})
+		return duty.OutcomeUnknown, fmt.Errorf("no answer yet")
+	}
+	if !sim.accept(token, report) {
 		return duty.Refused, fmt.Errorf("a higher fence was seen")
 	}
+	if sim.random.Float64() < sim.lossRate {
+		return duty.OutcomeUnknown, fmt.Errorf("no answer")
+	}
+	return duty.Done, nil
+}
+
+// accept carries out a usage report, unless a higher fencing token was seen.
+func (sim *simulation) accept(token int64, report duty.Report) bool {
+	if token < sim.fence {
+		return false
+	}
 	sim.fence = token
 	counts := fmt.Sprint(report.Counts)
 	if before, known := sim.reports[report.Window]; known && before != counts {
 		sim.violation = fmt.Sprintf("window %d was reported as %s and as %s", report.Window, before, counts)
 	}
 	sim.reports[report.Window] = counts
-	if sim.random.Float64() < sim.lossRate {
-		return duty.OutcomeUnknown, fmt.Errorf("no answer")
+	return true
+}
+
+// acceptLate carries out the late calls that are due.
+func (sim *simulation) acceptLate() {
+	kept := sim.lateCalls[:0]
+	for _, c := range sim.lateCalls {
+		if c.due > sim.now {
+			kept = append(kept, c)
+			continue
+		}
+		sim.accept(c.token, c.report)
 	}
-	return duty.Done, nil
+	sim.lateCalls = kept
 }
 
 // OrderCapacity implements duty.Cloud.
-func (h *host) OrderCapacity(context.Context, duty.Grant, duty.Order) (duty.Outcome, error) {
+func (h *host) OrderCapacity(_ context.Context, grant duty.Grant, _ duty.Order) (duty.Outcome, error) {
+	h.sim.checkCall(h, grant.Token)
+	if grant.Token < h.sim.fence {
+		return duty.Refused, fmt.Errorf("a higher fence was seen")
+	}
+	h.sim.fence = grant.Token
 	return duty.Done, nil
 }
 
+// Orders implements duty.Planner. A holder orders in each step, so that holders that alternate
+// are noticed.
+func (h *host) Orders(*control.Snapshot, duty.RolloutStarts, time.Duration) []duty.Order {
+	return []duty.Order{{Service: "chat"}}
+}
+
+// Ordered implements duty.Planner.
+func (h *host) Ordered(duty.Order, duty.Outcome, time.Duration) {}
+
 // checkCall checks that no two hosts use the same token and that holders do not
 // alternate within the lease.
 func (sim *simulation) checkCall(h *host, token int64) {
-	for _, earlier := range sim.calls {
-		if earlier.token == token && earlier.host != h.name {
-			sim.violation = fmt.Sprintf("token %d was used by %s and %s", token, earlier.host, h.name)
-		}
+	if earlier, used := sim.tokens[token]; used && earlier != h.name {
+		sim.violation = fmt.Sprintf("token %d was used by %s and %s", token, earlier, h.name)
 	}
+	sim.tokens[token] = h.name
 	between := false
 	for i := len(sim.calls) - 1; i >= 0 && sim.now-sim.calls[i].at < lease; i-- {
 		if sim.calls[i].host != h.name {
@@ -193,7 +286,7 @@
 }
 
 func newSimulation(hosts int, seed uint64) *simulation {
-	sim := &simulation{random: rand.New(rand.NewPCG(seed, 7)), hosts: make([]*host, hosts), reports: map[int64]string{}}
+	sim := &simulation{random: rand.New(rand.NewPCG(seed, 7)), hosts: make([]*host, hosts), reports: map[int64]string{}, tokens: map[int64]string{}}
 	for i := range sim.hosts {
 		sim.start(i)
 	}
@@ -204,9 +297,10 @@
 func (sim *simulation) run(d time.Duration) {
 	for end := sim.now + d; sim.now < end && sim.violation == ""; sim.now += stepLength {
 		sim.applyDelayed()
+		sim.acceptLate()
 		for _, h := range sim.hosts {
 			if h.alive && !h.frozen {
-				h.usage.Count("riverside", sim.Wall())
+				h.usage.Count("riverside", h.Wall())
 				h.driver.Step(context.Background())
 			}
 		}
@@ -217,13 +311,11 @@
 func (sim *simulation) applyDelayed() {
 	kept := sim.delayed[:0]
 	for _, l := range sim.delayed {
-		switch {
-		case l.due > sim.now:
+		if l.due > sim.now {
 			kept = append(kept, l)
-		case l.at == sim.logEnd:
-			sim.logEnd++
-			sim.newest = topic.Entry{Key: "ledger", Value: l.value, Offset: sim.logEnd - 1}
+			continue
 		}
+		sim.appendAt(l.at, l.value)
 	}
 	sim.delayed = kept
 }
@@ -367,6 +459,132 @@
 	require.Greater(t, sim.now-released, lease)
 }
 
+// recoveryTime is the time after all troubles in which the duties are done again.
+const recoveryTime = 25 * time.Second
+
+// maxSkewMillis is how far, in milliseconds, the times of day of hosts are off.
+const maxSkewMillis = 100
+
+// drillAges are the ages of the copies from which the log comes back.
+var drillAges = []time.Duration{time.Second, 5 * time.Second, 20 * time.Second}
+
+// Guards against a token of two holders, a window with two counts, and holders that alternate,
+// since the log came back from copies beside other faults.
+func TestDutiesUnderDrills(t *testing.T) {
+	for seed := *drillFirst; seed < *drillFirst+*drillSeeds; seed++ {
+		sim := newSimulation(2+int(seed%4), seed)
+		for _, h := range sim.hosts {
+			h.skew = time.Duration(sim.random.IntN(2*maxSkewMillis)-maxSkewMillis) * time.Millisecond
+		}
+		for sim.now < 2*time.Minute && sim.violation == "" {
+			sim.runWithDrills()
+		}
+		require.Empty(t, sim.violation, "seed %d, at %v", seed, sim.now)
+		sim.lossRate = 0
+		sim.recover()
+		sim.run(recoveryTime)
+		require.Empty(t, sim.violation, "seed %d, at %v", seed, sim.now)
+		last := sim.hosts[0].usage.Window(sim.Wall().Add(-window))
+		require.Contains(t, sim.reports, last-1, "seed %d: duties are not done again", seed)
+	}
+}
+
+// The schedules of TestDutiesUnderDrills.
+var (
+	drillFirst = flag.Uint64("duty.first", 1, "first seed of the schedules with drills")
+	drillSeeds = flag.Uint64("duty.seeds", 60, "number of schedules with drills")
+)
+
+// runWithDrills applies a random trouble and goes on for up to four seconds.
+func (sim *simulation) runWithDrills() {
+	i := sim.random.IntN(len(sim.hosts))
+	h := sim.hosts[i]
+	switch sim.random.IntN(10) {
+	case 0, 1, 2:
+		sim.drill()
+	case 3:
+		h.alive = false
+	case 4:
+		h.frozen = !h.frozen
+	case 5:
+		h.partitioned = !h.partitioned
+	case 6:
+		sim.lossRate = []float64{0, 0, 0.1, 0.4}[sim.random.IntN(4)]
+	case 7:
+		h.stop()
+	case 8:
+		if holder := sim.holder(); holder != nil {
+			holder.frozen = true
+		}
+	}
+	if sim.random.IntN(2) == 0 {
+		sim.recover()
+	}
+	sim.run(time.Duration(100+sim.random.IntN(4000)) * time.Millisecond)
+}
+
+// drill takes the log away for a moment and brings back a copy.
+func (sim *simulation) drill() {
+	sim.logDown = true
+	sim.run(time.Duration(sim.random.IntN(8)) * stepLength)
+	sim.logDown = false
+	sim.restoreCopy(drillAges[sim.random.IntN(len(drillAges))])
+}
+
+// recover ends the troubles of all hosts.
+func (sim *simulation) recover() {
+	for i, h := range sim.hosts {
+		h.frozen, h.partitioned = false, false
+		if !h.alive || h.stopping {
+			sim.start(i)
+		}
+	}
+}
+
+// Guards against holders that alternate within the lease, since the copy lacks the claim of the
+// one between.
+func TestHoldersDoNotAlternateBehindADrill(t *testing.T) {
+	sim := newSimulation(2, 1)
+	sim.run(9 * time.Second)
+	first := sim.holder()
+	first.stop()
+	sim.run(2 * stepLength)
+	first.alive = false
+	released := sim.now
+	for sim.holder() == nil {
+		sim.run(stepLength)
+	}
+	second := sim.holder()
+	require.NotEqual(t, first.name, second.name)
+	sim.run(2 * stepLength)
+	second.alive = false
+	sim.restoreCopy(sim.now - released)
+	sim.start(slices.Index(sim.hosts, first))
+	for sim.holder() == nil {
+		sim.run(stepLength)
+	}
+	sim.run(2 * stepLength)
+	require.Empty(t, sim.violation)
+	require.Equal(t, first.name, sim.holder().name)
+	require.Greater(t, sim.now-released, lease)
+}
+
+// Guards against a holder that gives up the duties, or waits, since the log came back from a copy.
+func TestHolderGoesOnBehindADrill(t *testing.T) {
+	sim := newSimulation(3, 1)
+	sim.run(16 * time.Second)
+	holder := sim.holder()
+	before, _ := holder.driver.HeldToken()
+	sim.restoreCopy(14 * time.Second)
+	sim.run(time.Second)
+	require.Same(t, holder, sim.holder())
+	after, _ := holder.driver.HeldToken()
+	require.Greater(t, after, before)
+	sim.run(10 * time.Second)
+	require.Empty(t, sim.violation)
+	require.Len(t, sim.reports, int(sim.now/window))
+}
+
 // Invariant: no window is reported with two different counts, no two hosts use the
 // same token, and holders do not alternate within the lease, while in any order hosts
 // are killed, frozen, partitioned and restarted and the log is down, loses responses
@@ -415,7 +633,7 @@
 }
 
 func FuzzParseLedger(f *testing.F) {
-	data, err := duty.Ledger{}.Claim("h", 1, 5).Encode()
+	data, err := duty.Ledger{}.Claim("h", 1, 5, topic.Position{}).Encode()
 	require.NoError(f, err)
 	f.Add(data)
 	f.Add([]byte(`{"open":{"1":{"2":null}}}`))
@@ -423,7 +641,7 @@
 		l, err := duty.ParseLedger(data)
 		if err == nil {
 			l.Merge(nil).FinalizeReports(l.NextWindow + 3)
-			merged := l.Claim("h", 1, 5).Merge(map[int64]map[uint64]duty.Counts{7: {8: {"acme": 1}}})
+			merged := l.Claim("h", 1, 5, topic.Position{}).Merge(map[int64]map[uint64]duty.Counts{7: {8: {"acme": 1}}})
 			for _, before := range []int64{0, 1 << 30, math.MaxInt64} {
 				merged.FinalizeReports(before)
 			}
--- a/internal/gateway/duty/ledger.go
+++ b/internal/gateway/duty/ledger.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/rollout"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 )
 
 // ErrLedger is returned for a ledger that cannot be decoded or encoded.
@@ -143,22 +144,55 @@
 	return data, nil
 }
 
-// Claim returns the ledger with a new holder and the next token. An empty ledger
-// starts at the given window.
-func (l Ledger) Claim(host string, incarnation uint64, window int64) Ledger {
+// epochTokens is the number of tokens of an epoch of the log. Two to the 21st epochs of as many
+// tokens fit in a number that JSON readers can hold exactly.
+const epochTokens = 1 << 32
+
+// OfEpoch reports whether the latest claim was made in an epoch of the log. A ledger of an
+// earlier one comes from a copy, or was written late: its holder holds nothing any more.
+func (l Ledger) OfEpoch(epoch int64) bool { return l.Token/epochTokens == epoch }
+
+// claimToken returns the token of a claim that is written at a position.
+//
+// Scenario: the log comes back from a copy without the latest claims, and a late write of a
+// former epoch lands in the new one. The tokens of an epoch are above all of earlier ones, and
+// as no offset is given out twice in it, so is no token.
+func (l Ledger) claimToken(at topic.Position) int64 {
+	if at.Epoch == 0 {
+		return l.Token + 1
+	}
+	return max(l.Token, at.Epoch*epochTokens+at.Offset) + 1
+}
+
+// Claim returns the ledger with a new holder, claimed at a position in the log. An empty
+// ledger starts at the given window.
+func (l Ledger) Claim(host string, incarnation uint64, window int64, at topic.Position) Ledger {
 	next := l.clone()
 	if len(l.RecentHolders) == 0 || l.RecentHolders[len(l.RecentHolders)-1] != host {
 		next.RecentHolders = append(next.RecentHolders, host)
 		next.RecentHolders = next.RecentHolders[max(len(next.RecentHolders)-maxRecentHolders, 0):]
 	}
 	next.Holder, next.Incarnation = host, incarnation
-	next.Token++
+	next.Token = l.claimToken(at)
 	if next.NextWindow == 0 {
 		next.NextWindow = window
 	}
 	return next
 }
 
+// WithoutReportsBefore returns the ledger without reports of the windows before the given
+// one, but for those that are known.
+func (l Ledger) WithoutReportsBefore(window int64, known map[int64]Counts) Ledger {
+	next := l.clone()
+	next.NextWindow = max(next.NextWindow, window)
+	next.Reports = maps.Clone(known)
+	if next.Reports == nil {
+		next.Reports = map[int64]Counts{}
+	}
+	maps.DeleteFunc(next.OpenCounts, func(window int64, _ map[uint64]Counts) bool { return window < next.NextWindow })
+	return next
+}
+
 // Release returns the ledger without a holder, so that another host may claim it at
 // once.
 func (l Ledger) Release() Ledger {
--- a/internal/gateway/duty/store.go
+++ b/internal/gateway/duty/store.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/marigoldmux/marigoldmux/internal/event"
@@ -20,6 +21,11 @@
 		d.Events.Emit(eventLedgerFailed, zap.String("step", "read"), event.Err(err))
 		return false
 	}
+	if end.Epoch < d.end.Epoch {
+		err = eris.Wrapf(topic.ErrUnavailable, "response of epoch %d, behind epoch %d", end.Epoch, d.end.Epoch)
+		d.Events.Emit(eventLedgerFailed, zap.String("step", "read"), event.Err(err))
+		return false
+	}
 	ledger := Ledger{}
 	for _, entry := range entries {
 		if entry.Key != ledgerKey {
@@ -60,21 +66,40 @@
 		d.ledger = previous
 		return false
 	}
-	if d.ledger.WriteID == next.WriteID {
+	if d.ledger.WriteID == next.WriteID && d.ledger.OfEpoch(d.end.Epoch) {
 		d.confirm(requestedAt)
 		return true
 	}
-	if d.held && (d.ledger.Holder != d.Host || d.ledger.Incarnation != d.Incarnation) {
-		d.stepDown("the ledger names "+d.ledger.Holder, d.Clock.Now())
+	if d.held {
+		d.handleForeignLedger(previous)
 	}
 	return false
 }
 
+// handleForeignLedger is called when the holder has read a ledger that it did not write
+// last. It steps down if the ledger names another holder.
+//
+// A ledger of an earlier epoch comes from a copy of the log or was written late, and the
+// holder goes on from its own. It does so only while no other host can have claimed the
+// duties: such a claim may be lost with what else the copy lacks.
+func (d *Driver) handleForeignLedger(previous Ledger) {
+	now := d.Clock.Now()
+	switch {
+	case !d.ledger.OfEpoch(d.end.Epoch) && now-d.writtenAt < ledgerIdleAfter:
+		d.ledger = previous
+	case !d.ledger.OfEpoch(d.end.Epoch):
+		d.stepDown("the ledger is of an earlier epoch", now)
+	case d.ledger.Holder != d.Host || d.ledger.Incarnation != d.Incarnation:
+		d.stepDown("the ledger names "+d.ledger.Holder, now)
+	}
+}
+
 // confirm records that the log held the ledger written by a request that was sent at
 // the boot time requestedAt.
 func (d *Driver) confirm(requestedAt time.Duration) {
 	d.writtenAt = requestedAt
 	d.confirmedAt.Store(int64(requestedAt))
+	d.written = d.ledger
 	if d.ledger.Holder == d.Host {
 		d.token.Store(d.ledger.Token)
 	}
