duty: the ledger tells which configuration the holder knew to be in force

A host that starts behind a drill of the store can't tell from the log whether the configuration there is a copy's. A ledger whose token is of an earlier epoch proves nothing. The field is left out where it is 0, so that the ledger's encoding stays (compat tests).

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -113,7 +113,10 @@
 	// RolloutReporter receives the progress of rollouts; nil means that it is
 	// not reported.
 	RolloutReporter RolloutReporter
-	Events          *event.Logger
+	// ProvenVersion returns the newest configuration version that this host knows to be in
+	// force, or 0; nil means that it knows none.
+	ProvenVersion func() int64
+	Events        *event.Logger
 	// Lease is the time in which two hosts must not alternate as holders.
 	Lease time.Duration
 	// Clock is the source of time; nil means the system clocks.
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -87,6 +87,8 @@
 	name   string
 	driver *duty.Driver
 	usage  *usage.Counter
+	// proven is the configuration version that the host knows to be in force.
+	proven int64
 	// skew is how far the host's time of day is ahead.
 	skew time.Duration
 	// incarnation identifies the host's process.
@@ -119,7 +121,7 @@
 		h.skew = sim.hosts[i].skew
 	}
 	h.driver = duty.NewDriver(duty.Deps{
-		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage, Planner: h,
+		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage, Planner: h, ProvenVersion: func() int64 { return h.proven },
 		Events: event.Discard(), Lease: lease, Clock: h,
 	})
 	sim.hosts[i] = h
--- a/internal/gateway/duty/ledger.go
+++ b/internal/gateway/duty/ledger.go
@@ -94,6 +94,9 @@
 	// Packed holds OpenCounts in its stored form where there are many; it is empty
 	// otherwise. A former build passes over it.
 	Packed []byte `json:"packed,omitempty"`
+	// ConfigVersion is the newest configuration version that a holder of this epoch knew to
+	// be in force, 0 if there is none.
+	ConfigVersion int64 `json:"config,omitempty"`
 	// Rollouts holds the progress of rollouts by service.
 	Rollouts map[string]rollout.Progress `json:"moves,omitempty"`
 }
@@ -173,6 +176,9 @@
 		next.RecentHolders = next.RecentHolders[max(len(next.RecentHolders)-maxRecentHolders, 0):]
 	}
 	next.Holder, next.Incarnation = host, incarnation
+	if !l.OfEpoch(at.Epoch) {
+		next.ConfigVersion = 0
+	}
 	next.Token = l.claimToken(at)
 	if next.NextWindow == 0 {
 		next.NextWindow = window
--- a/internal/gateway/duty/store.go
+++ b/internal/gateway/duty/store.go
@@ -26,25 +26,35 @@
 		d.Events.Emit(eventLedgerFailed, zap.String("step", "read"), event.Err(err))
 		return false
 	}
-	ledger := Ledger{}
-	for _, entry := range entries {
-		if entry.Key != ledgerKey {
-			continue
-		}
-		if ledger, err = ParseLedger(entry.Value); err != nil {
-			d.Events.Emit(eventLedgerFailed, zap.String("step", "parse"), event.Err(err))
-			return false
-		}
+	ledger, _, err := newestLedger(entries)
+	if err != nil {
+		d.Events.Emit(eventLedgerFailed, zap.String("step", "parse"), event.Err(err))
+		return false
 	}
 	d.ledger, d.end = ledger, end
 	return true
 }
 
+// newestLedger returns the ledger among the entries of its topic. It reports whether there is
+// one; otherwise the ledger is empty.
+func newestLedger(entries []topic.Entry) (ledger Ledger, known bool, err error) {
+	for _, entry := range entries {
+		if entry.Key == ledgerKey {
+			ledger, err = ParseLedger(entry.Value)
+			return ledger, true, err
+		}
+	}
+	return Ledger{}, false, nil
+}
+
 // writeLedger writes a ledger to the log unless another host has written since the
 // last read. It reports whether the ledger in the log is the given one. After a
 // conflict or an unknown outcome it reads the ledger to find out.
 func (d *Driver) writeLedger(ctx context.Context, next Ledger) bool {
 	requestedAt := d.Clock.Now()
+	if d.ProvenVersion != nil {
+		next.ConfigVersion = max(next.ConfigVersion, d.ProvenVersion())
+	}
 	next.WriteID = rand.Uint64() >> 12 // 52 bits, which JSON readers can hold exactly
 	data, err := next.Encode()
 	if err != nil {
