reconcile, relay: a copy's older reports undo nothing that a host knows of an upstream

What callers saw: behind a drill of the store, requests reached a worker that had said it was leaving, and one whose report had been removed (DRAIN).

Cause: the listing of a later epoch replaced what the host knew, although the copy is older: a draining worker was ready again, one that had left was listed again, and one that the copy lacked was dropped at once.

Fix: reports have an order, start of the process and sequence number, which the platform's folder now reads. Package reconcile merges each update with what the host knows: an older report is passed over, a removed upstream is listed again only by a newer report, and one that the copy lacks is kept for 4 s, three heartbeats of 1.2 s and a margin. Kept reports are marked, so that followers of a reader drop them as well. Sequence numbers alone wake no followers. In epoch 0 updates pass as they are, and former builds get the same bytes.

--- a/internal/gateway/applier.go
+++ b/internal/gateway/applier.go
@@ -8,6 +8,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/control"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/reconcile"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 )
 
@@ -24,8 +25,9 @@
 
 	mu sync.Mutex
 	// epoch is the latest epoch of the log, known once something was read.
-	epoch atomic.Int64
-	read  bool
+	epoch     atomic.Int64
+	read      bool
+	upstreams reconcile.Upstreams
 }
 
 // noteEpoch records the epoch of an update. a.mu must be held.
@@ -49,11 +51,15 @@
 	}
 }
 
-// applyUpstreams does the same for upstreams' reports.
+// applyUpstreams does the same for upstreams' reports, merged with those that this host knows.
 func (a *updateApplier) applyUpstreams(ctx context.Context, update catalog.UpstreamUpdate, requestedAt time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.noteEpoch(update.Epoch)
+	if !a.copy.AcceptsUpstreams(update) {
+		return
+	}
+	update = a.upstreams.Apply(update, requestedAt)
 	if a.copy.ApplyUpstreams(update, requestedAt) {
 		a.submit(ctx, control.UpstreamsRead{Update: update, RequestedAt: requestedAt})
 	}
--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -145,6 +145,16 @@
 	Born int64
 	// Spot is set when the upstream may be reclaimed.
 	Spot bool
+	// Sequence rises with each report of a process, 0 if unknown.
+	Sequence int64 `msgpack:",omitempty"`
+}
+
+// NewerThan reports whether a report was written after another one of the same upstream.
+func (u *Upstream) NewerThan(other *Upstream) bool {
+	if u.Born != other.Born {
+		return u.Born > other.Born
+	}
+	return u.Sequence > other.Sequence
 }
 
 // Rollout orders a service's traffic to be moved to a version.
@@ -194,4 +204,7 @@
 	ID string
 	// Upstream is nil when the report was removed or has expired.
 	Upstream *Upstream
+	// Kept is set when the report was read in an earlier epoch of the log and the present
+	// one lacks it.
+	Kept bool `msgpack:",omitempty"`
 }
--- /dev/null
+++ b/internal/gateway/reconcile/upstreams.go
@@ -0,0 +1,148 @@
+// Package reconcile merges what a host knows with what it reads behind a log that came back
+// from a copy. The copy lacks what was written last, which operators and upstreams write
+// again some time later: until then the host's own knowledge is the newer one. It does no I/O.
+package reconcile
+
+import (
+	"time"
+
+	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+)
+
+const (
+	// keepUpstreams is how long an upstream is kept that the log lacks: one that is alive
+	// reports again within three heartbeats of 1.2 s.
+	keepUpstreams = 4 * time.Second
+	// removalMemory is how long the removal of an upstream is remembered; copies are younger.
+	removalMemory = 2 * time.Minute
+)
+
+// upstream is an upstream as the host knows it.
+type upstream struct {
+	report *catalog.Upstream
+	// keptUntil is when the upstream is dropped that the log lacks, 0 if the log has it.
+	keptUntil time.Duration
+	// removed is set when the report was removed, in removedIn at removedAt.
+	removed   bool
+	removedIn int64
+	removedAt time.Duration
+}
+
+// Upstreams holds the upstreams that a host knows, also those that were removed lately. The
+// zero value knows nothing.
+type Upstreams struct {
+	epoch int64
+	known map[string]upstream
+}
+
+// Apply returns the update to apply in place of one that was read by a request sent at a boot
+// time.
+func (s *Upstreams) Apply(u catalog.UpstreamUpdate, requestedAt time.Duration) catalog.UpstreamUpdate {
+	if s.known == nil {
+		s.known = map[string]upstream{}
+	}
+	u.Changes = s.merge(u, requestedAt)
+	s.epoch = max(s.epoch, u.Epoch)
+	for _, change := range u.Changes {
+		s.record(change, requestedAt)
+	}
+	u.Changes = append(u.Changes, s.drop(requestedAt)...)
+	return u
+}
+
+// merge returns the changes of an update without outdated reports, and together with what is
+// kept.
+func (s *Upstreams) merge(u catalog.UpstreamUpdate, requestedAt time.Duration) []catalog.UpstreamChange {
+	changes := make([]catalog.UpstreamChange, 0, len(u.Changes))
+	listed := map[string]bool{}
+	for _, change := range u.Changes {
+		known, isKnown := s.known[change.ID]
+		listed[change.ID] = true
+		switch {
+		case !isKnown || change.Upstream == nil || !s.outdated(known, change.Upstream, u):
+			changes = append(changes, change)
+		case u.Whole && !known.removed:
+			changes = append(changes, catalog.UpstreamChange{ID: change.ID, Upstream: known.report})
+		}
+	}
+	if u.Whole {
+		changes = append(changes, s.unlisted(listed, u.Epoch > s.epoch, requestedAt)...)
+	}
+	return changes
+}
+
+// outdated reports whether a report is older than what is known of its upstream. In the first
+// epoch that the host has read, the log is in order.
+func (s *Upstreams) outdated(known upstream, report *catalog.Upstream, u catalog.UpstreamUpdate) bool {
+	if u.Epoch == 0 {
+		return false
+	}
+	if known.removed && known.removedIn == u.Epoch {
+		return false
+	}
+	if u.Whole && (known.removed || u.Epoch > s.epoch) {
+		return !report.NewerThan(known.report)
+	}
+	return known.report.NewerThan(report)
+}
+
+// unlisted returns the upstreams that are kept although a listing lacks them, and records that
+// the others were removed.
+func (s *Upstreams) unlisted(listed map[string]bool, rises bool, requestedAt time.Duration) []catalog.UpstreamChange {
+	var kept []catalog.UpstreamChange
+	for id, known := range s.known {
+		if listed[id] || known.removed {
+			continue
+		}
+		if rises {
+			known.keptUntil = requestedAt + keepUpstreams
+			s.known[id] = known
+		}
+		if known.keptUntil > requestedAt {
+			kept = append(kept, catalog.UpstreamChange{ID: id, Upstream: known.report, Kept: true})
+			continue
+		}
+		s.remove(id, requestedAt)
+	}
+	return kept
+}
+
+// record records a change that is applied.
+func (s *Upstreams) record(change catalog.UpstreamChange, requestedAt time.Duration) {
+	if change.Upstream == nil {
+		s.remove(change.ID, requestedAt)
+		return
+	}
+	next := upstream{report: change.Upstream}
+	if change.Kept {
+		next.keptUntil = requestedAt + keepUpstreams
+		if known := s.known[change.ID]; known.keptUntil > 0 {
+			next.keptUntil = known.keptUntil
+		}
+	}
+	s.known[change.ID] = next
+}
+
+func (s *Upstreams) remove(id string, requestedAt time.Duration) {
+	known, isKnown := s.known[id]
+	if !isKnown || known.removed {
+		return
+	}
+	s.known[id] = upstream{report: known.report, removed: true, removedIn: s.epoch, removedAt: requestedAt}
+}
+
+// drop removes the upstreams that did not report again in time, and forgets old removals.
+func (s *Upstreams) drop(now time.Duration) []catalog.UpstreamChange {
+	var dropped []catalog.UpstreamChange
+	for id, known := range s.known {
+		if known.removed && now-known.removedAt > removalMemory {
+			delete(s.known, id)
+			continue
+		}
+		if known.keptUntil > 0 && known.keptUntil <= now {
+			s.remove(id, now)
+			dropped = append(dropped, catalog.UpstreamChange{ID: id})
+		}
+	}
+	return dropped
+}
--- a/internal/gateway/relay/kinds.go
+++ b/internal/gateway/relay/kinds.go
@@ -46,6 +46,9 @@
 		if before.Upstream == nil || after.Upstream == nil {
 			return before.Upstream == after.Upstream
 		}
-		return *before.Upstream == *after.Upstream && after.Upstream.Cold == 0
+		// Each heartbeat has another sequence number, which alone tells nothing.
+		same := *after.Upstream
+		same.Sequence = before.Upstream.Sequence
+		return *before.Upstream == same && after.Upstream.Cold == 0 && before.Kept == after.Kept
 	},
 }
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -103,6 +103,14 @@
 	return applied
 }
 
+// AcceptsUpstreams reports whether upstream reports are at least as new as the cached ones and
+// can be applied to them.
+func (c *Cache) AcceptsUpstreams(u catalog.UpstreamUpdate) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.upstreams.table.accepts(u)
+}
+
 // Positions returns the positions from which to read next, topic.Unread before the first
 // read.
 func (c *Cache) Positions() (operator, upstreams topic.Position) {
