reconcile: a zone that was taken out stays out behind a drill

What callers saw: behind a drill of the store, requests went to a zone that had been taken out of service, until operators wrote the order again (EVAC); a rollout went back to an earlier order.

Cause: the listing of a later epoch replaced the orders that the host knew, although the copy lacks the last ones.

A zone that only the copy takes out is taken out. A rollout that the copy has in another form, or that was withdrawn, stays as the host knows it until its key is written.

--- a/internal/gateway/applier.go
+++ b/internal/gateway/applier.go
@@ -27,6 +27,7 @@
 	// epoch is the latest epoch of the log, known once something was read.
 	epoch     atomic.Int64
 	read      bool
+	operator  reconcile.Operator
 	upstreams reconcile.Upstreams
 }
 
@@ -41,11 +42,15 @@
 }
 
 // applyOperator applies operator changes from the response to a request sent at
-// a boot time, unless they are older than those already applied.
+// a boot time, merged with what this host knows, unless they are older than those already applied.
 func (a *updateApplier) applyOperator(ctx context.Context, update catalog.OperatorUpdate, requestedAt time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.noteEpoch(update.Epoch)
+	if !a.copy.AcceptsOperator(update) {
+		return
+	}
+	update = a.operator.Apply(update, requestedAt)
 	if a.copy.ApplyOperator(update, requestedAt) {
 		a.submit(ctx, control.OperatorRead{Update: update, RequestedAt: requestedAt})
 	}
--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -176,6 +176,9 @@
 	Rollout        Rollout
 	// Removed is set when the zone or rollout is withdrawn.
 	Removed bool
+	// Kept is set when the change was read in an earlier epoch of the log and the present
+	// one lacks it.
+	Kept bool `msgpack:",omitempty"`
 }
 
 // Update holds changes of one kind in log order.
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -103,8 +103,15 @@
 	return applied
 }
 
-// AcceptsUpstreams reports whether upstream reports are at least as new as the cached ones and
-// can be applied to them.
+// AcceptsOperator reports whether operator changes are at least as new as the cached ones
+// and can be applied to them.
+func (c *Cache) AcceptsOperator(u catalog.OperatorUpdate) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.operator.table.accepts(u)
+}
+
+// AcceptsUpstreams does the same with upstream reports.
 func (c *Cache) AcceptsUpstreams(u catalog.UpstreamUpdate) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
