gateway: no key is valid once the last customer is gone

Cause: a configuration without customers was taken for one that asks for no keys; a missing list and an empty one were not told apart.

Fix: the configuration says whether requests need a key, and does with any list of customers, also an empty one.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -131,6 +131,9 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
+	// NeedsKeys is set when requests need the key of a customer, also if there are no
+	// customers. Former builds do not pass it on.
+	NeedsKeys bool `msgpack:",omitempty"`
 	Limits    Limits
 }
 
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -252,10 +252,9 @@
 	return p.admitWhileStopping(now)
 }
 
-// needsKey reports whether requests on a route need the key of a customer. A configuration
-// without customers has no keys to check.
+// needsKey reports whether requests on a route need the key of a customer.
 func needsKey(view *catalog.View, route *catalog.Route) bool {
-	return !route.Public && len(view.Document.Customers) > 0
+	return !route.Public && (view.Document.NeedsKeys || len(view.Document.Customers) > 0)
 }
 
 // boundWrites makes writes to the caller fail from writeGrace after a deadline on, so
