forward: a silent upstream is given up only for another one

Cause: the host decided to give a silent upstream up before it knew whether the request could go on elsewhere: behind 3 s without a look at other upstreams, before the first event without a look at the retry budget.

Fix: an upstream is given up only if another one may get the request and a retry is reserved for it.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -23,8 +23,7 @@
 	// whether its upstream still responds.
 	responseCheckInterval = 250 * time.Millisecond
 	// maxStreamSilence is the time without events after which a stream is taken
-	// from an unresponsive upstream even if no other upstream is available or the
-	// retry budget is used up.
+	// from an unresponsive upstream even if all others are suspect.
 	maxStreamSilence = 3 * time.Second
 	// atMostOnceMaxIdle is the longest idle time of a connection that is used for
 	// a request that must not be sent twice.
@@ -244,17 +243,15 @@
 }
 
 // mayAbandon reports whether a silent upstream may be abandoned: only if there is
-// another one, since it may be at work. One that already sent events of the stream may
-// only have paused: it is abandoned if another upstream is available and the retry budget
-// allows it, or after maxStreamSilence.
+// another one and the retry budget allows it, since it may be at work. One that already
+// sent events of the stream may only have paused: up to maxStreamSilence the other one
+// must not be suspect.
 func (a *attempt) mayAbandon(now time.Duration) bool {
-	if !a.headerSent {
-		return a.hasOther(now)
-	}
-	if now-a.lastReceivedAt > maxStreamSilence {
-		return true
+	mayPause := a.headerSent && now-a.lastReceivedAt <= maxStreamSilence
+	if mayPause && !a.hasAlternative(now) {
+		return false
 	}
-	return a.hasAlternative(now) && a.reserveRetry(now)
+	return a.hasOther(now) && a.reserveRetry(now)
 }
 
 // hasOther reports whether the request may be sent to another upstream.
