--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -159,7 +159,8 @@
 	slots := map[uint64]trialSlot{}
 	for _, s := range suspects {
 		slot, due := s.slotAt(now)
-		if s.Part == "" || !due || t.trials[s.Key] == slot {
+		last, tried := t.trials[s.Key]
+		if s.Part == "" || !due || tried && last == slot {
 			return false
 		}
 		slots[s.Key] = slot
