gateway: hosts list themselves again behind a log that came back from a copy

Cause: a host wrote its record once, at its start, and read the list again only while it had no peers. A copy may lack records.

TestNewHostBehindADrillAsksItsPeersForTheFleet fails if the copy's list is taken for complete.

Fix: when the epoch rises each host writes its record and then reads the list again, spread over one second for each 300 hosts: of two hosts, the later writer reads the other's record. In an epoch above 0 a host that starts takes the list for complete only once a peer that knows its fleet has told it all, or the others have had the time to write theirs again.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -38,8 +38,20 @@
 	// announcementDelay is the time in which all hosts have received a digest of a new one
 	// that has their addresses.
 	announcementDelay = 300 * time.Millisecond
+	// epochCheckInterval is the pause between two checks whether the log's epoch has risen.
+	epochCheckInterval = 200 * time.Millisecond
+	// recordsRewrittenWithin is the time in which hosts notice that the log's epoch has risen
+	// and write their records again, in addition to their share of rewriteSpread.
+	recordsRewrittenWithin = 4 * time.Second
+	// rewritesPerSecond bounds the records that all hosts write together when the epoch rises.
+	rewritesPerSecond = 300
 )
 
+// rewriteSpread is the time over which a number of hosts write their records again.
+func rewriteSpread(hosts int) time.Duration {
+	return time.Duration(hosts) * time.Second / rewritesPerSecond
+}
+
 // Limits of the directory's responses.
 const (
 	// directoryTTL is how long callers may cache a response.
@@ -68,48 +80,103 @@
 func (g *Gateway) discoverPeers(ctx context.Context) {
 	log := &dependency{g: g, name: "log: hosts"}
 	asked := &peerList{g: g, client: relay.NewClient()}
-	written := false
+	own := &registration{g: g}
 	for ctx.Err() == nil {
-		hosts, err := g.listHosts(ctx, &written)
+		hosts, err := own.listHosts(ctx)
 		if err != nil {
 			asked.request(ctx)
 			sleep(ctx, max(log.failed(err), discoveryRetryInterval))
 			continue
 		}
 		log.succeeded()
-		g.submitHosts(ctx, hosts, true, "log")
-		sleep(ctx, rediscoverAfter)
-		for ctx.Err() == nil && len(g.loop.Snapshot().Peers) > 0 {
-			sleep(ctx, rediscoverAfter)
+		complete := own.listsAll(len(hosts))
+		g.submitHosts(ctx, hosts, complete, "log")
+		if !complete {
+			asked.requestUntil(ctx, own.rewrittenAt(len(hosts)))
+			continue
 		}
+		own.awaitDiscovery(ctx, len(hosts))
 	}
 }
 
-// listHosts writes this host's record unless that was done, and then reads those of all
-// hosts. A host whose record comes later finds this one's. A write without a response, or one
-// of an earlier process, counts once the record is read.
-func (g *Gateway) listHosts(ctx context.Context, written *bool) ([]members.ListedHost, error) {
+// registration is this host's record in the list of all hosts.
+type registration struct {
+	g *Gateway
+	// written is set once the record is in the log, in an epoch.
+	written bool
+	epoch   int64
+	// listedAt is the boot time at which the list was first read in listedEpoch, 0 before.
+	listedAt    time.Duration
+	listedEpoch int64
+}
+
+// listHosts writes this host's record unless that was done in the log's epoch, and then reads
+// those of all hosts. A host whose record comes later finds this one's. A write without a
+// response, or one of an earlier process, counts once the record is read.
+func (r *registration) listHosts(ctx context.Context) ([]members.ListedHost, error) {
 	var writeErr error
-	if !*written {
-		record, err := json.Marshal(hostRecord{PeerAddress: g.peerAddress})
-		if err != nil {
-			return nil, eris.Wrap(err, "encode the host's record")
-		}
-		_, writeErr = g.ports.Feed.Put(ctx, hostsTopic, g.options.Host, record, topic.Anywhere)
-		*written = writeErr == nil
+	if !r.written || r.g.updates.epoch.Load() > r.epoch {
+		writeErr = r.write(ctx)
 	}
-	entries, _, err := g.ports.Feed.Newest(ctx, hostsTopic)
+	entries, end, err := r.g.ports.Feed.Newest(ctx, hostsTopic)
 	if err != nil {
 		return nil, err
 	}
 	hosts := listedHosts(entries)
-	if !*written && !slices.Contains(hosts, members.ListedHost{Name: g.options.Host, PeerAddress: g.peerAddress}) {
-		return nil, eris.Wrap(errUnlisted, writeErr.Error())
+	listed := slices.Contains(hosts, members.ListedHost{Name: r.g.options.Host, PeerAddress: r.g.peerAddress})
+	if !listed && (!r.written || end.Epoch != r.epoch) {
+		r.written = false
+		return nil, eris.Wrapf(errUnlisted, "in epoch %d: %v", end.Epoch, writeErr)
 	}
-	*written = true
+	if r.listedAt == 0 || end.Epoch > r.listedEpoch {
+		r.listedAt, r.listedEpoch = boottime.Now(), end.Epoch
+	}
+	r.written, r.epoch = true, max(end.Epoch, r.epoch)
 	return hosts, nil
 }
 
+func (r *registration) write(ctx context.Context) error {
+	record, err := json.Marshal(hostRecord{PeerAddress: r.g.peerAddress})
+	if err != nil {
+		return eris.Wrap(err, "encode the host's record")
+	}
+	end, err := r.g.ports.Feed.Put(ctx, hostsTopic, r.g.options.Host, record, topic.Anywhere)
+	r.written = err == nil
+	if r.written {
+		r.epoch = end.Epoch
+	}
+	return err
+}
+
+// listsAll reports whether the list holds all hosts.
+//
+// Scenario: the log comes back from a copy that lacks the records of hosts that started lately,
+// and another host starts before they have written them again. It would use the limits of
+// fewer hosts than there are. Hosts that knew their fleet before still know it.
+func (r *registration) listsAll(hosts int) bool {
+	return r.epoch == 0 || r.g.loop.Snapshot().FleetKnown() || boottime.Now() >= r.rewrittenAt(hosts)
+}
+
+// rewrittenAt returns the boot time at which all hosts have written their records again.
+func (r *registration) rewrittenAt(hosts int) time.Duration {
+	return r.listedAt + recordsRewrittenWithin + rewriteSpread(hosts)
+}
+
+// awaitDiscovery waits until the list is to be read again: at intervals by a host without
+// peers, and once by all when the log's epoch has risen, since records may be gone then.
+func (r *registration) awaitDiscovery(ctx context.Context, hosts int) {
+	for waited := time.Duration(0); ctx.Err() == nil; waited += epochCheckInterval {
+		if r.g.updates.epoch.Load() > r.epoch {
+			sleep(ctx, rand.N(max(rewriteSpread(hosts), 1)))
+			return
+		}
+		if waited >= rediscoverAfter && len(r.g.loop.Snapshot().Peers) == 0 {
+			return
+		}
+		sleep(ctx, epochCheckInterval)
+	}
+}
+
 // submitHosts passes hosts from the list of all hosts to the loop.
 func (g *Gateway) submitHosts(ctx context.Context, hosts []members.ListedHost, complete bool, source string) {
 	if complete && !g.loop.Snapshot().FleetKnown() {
@@ -187,6 +254,14 @@
 	}
 }
 
+// requestUntil asks peers at intervals until this host knows its fleet, or a boot time.
+func (l *peerList) requestUntil(ctx context.Context, until time.Duration) {
+	for ctx.Err() == nil && !l.g.loop.Snapshot().FleetKnown() && boottime.Now() < until {
+		l.request(ctx)
+		sleep(ctx, discoveryRetryInterval)
+	}
+}
+
 func (g *Gateway) receiveDigests(ctx context.Context, socket *net.UDPConn) {
 	buf := make([]byte, members.MaxDigestBytes)
 	for ctx.Err() == nil {
