duty: a version that was rolled back is not started again behind a copy of the log

What callers saw: nothing yet; found by a test. A holder that rolls a version back and is gone with its ledger writes is followed by one that takes the rollout from the copy: running, or not begun. The version gets requests again (EXPOSURE).

Fix: each host remembers the shares that the holder's digests tell for the rollouts that are ordered. A claim on a ledger of an earlier epoch brings its rollouts forward to them: no share means rolled back. Digests stay as they are.

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -172,6 +172,8 @@
 	// runs holds the rollouts by service while this host holds the duties.
 	runs   map[string]*rollout.Run
 	shares atomic.Pointer[[]members.VersionShare]
+	// remembered holds the latest shares that a holder of the duties decided, by service.
+	remembered map[string]members.VersionShare
 }
 
 // ledgerWrite identifies a write of the ledger as it is read in an epoch of the log.
@@ -189,6 +191,7 @@
 	return &Driver{
 		Deps: deps, started: now, noHolderSince: now, lostAt: -1,
 		reported: map[int64]bool{}, counts: map[int64]map[uint64]Counts{}, runs: map[string]*rollout.Run{},
+		remembered: map[string]members.VersionShare{},
 	}
 }
 
@@ -231,6 +234,7 @@
 	now := d.Clock.Now()
 	d.collectCounts(snapshot)
 	holder := HolderOf(snapshot.Peers)
+	d.rememberShares(snapshot, holder)
 	switch {
 	case d.held && holder != nil && holder.LedgerToken > d.ledger.Token:
 		d.stepDown("a newer holder is heard", now)
@@ -347,7 +351,7 @@
 		base = d.written
 	}
 	seenAt := d.Clock.Wall().Add(d.watchedAt - now)
-	base = base.WithoutReportsBefore(d.Usage.Window(seenAt), d.written.Reports)
+	base = base.WithoutReportsBefore(d.Usage.Window(seenAt), d.written.Reports).WithShares(d.remembered, d.Clock.Wall())
 	return base.Claim(d.Host, d.Incarnation, d.oldestWindow(), d.end)
 }
 
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/control"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/duty"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/rollout"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/usage"
 )
@@ -49,6 +50,11 @@
 	// lateCalls holds usage reports without a response that are yet to be carried out.
 	lateCalls []lateCall
 	calls     []call
+	// rollouts holds the rollouts that operators ordered; badTarget is set while their
+	// targets fail. reported holds the states that were reported.
+	rollouts  map[string]catalog.Rollout
+	badTarget bool
+	reported  []rollout.State
 	// tokens holds the hosts that used the tokens.
 	tokens map[int64]string
 	// fence is the highest fencing token that the cloud API received.
@@ -122,6 +128,7 @@
 	}
 	h.driver = duty.NewDriver(duty.Deps{
 		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage, Planner: h, ProvenVersion: func() int64 { return h.proven },
+		Stats: h, RolloutReporter: h,
 		Events: event.Discard(), Lease: lease, Clock: h,
 	})
 	sim.hosts[i] = h
@@ -129,7 +136,7 @@
 
 // Snapshot implements the Snapshots dependency of a driver.
 func (h *host) Snapshot() *control.Snapshot {
-	s := &control.Snapshot{View: &catalog.View{}, SenderCount: 1}
+	s := &control.Snapshot{View: &catalog.View{Rollouts: h.sim.rollouts}, SenderCount: 1}
 	for _, other := range h.sim.hosts {
 		if other == h || !other.alive {
 			continue
@@ -141,6 +148,7 @@
 		token, age := other.driver.HeldToken()
 		s.Peers = append(s.Peers, &members.Peer{Digest: members.Digest{
 			Host: other.name, Incarnation: other.incarnation, Ready: true, Stopping: other.stopping, LedgerToken: token, LedgerAge: age, Usage: other.usage.Recent(other.Wall()),
+			VersionStats: other.VersionStats(h.sim.rollouts), VersionShares: other.driver.VersionShares(),
 		}})
 	}
 	return s
--- a/internal/gateway/duty/rollouts.go
+++ b/internal/gateway/duty/rollouts.go
@@ -28,6 +28,47 @@
 	return next
 }
 
+// WithShares returns the ledger with the rollouts brought forward to shares that a holder
+// decided after it was written. No rollout counts as acknowledged.
+//
+// Scenario: the log comes back from a copy in which a rollout that was rolled back is running,
+// or has not begun.
+func (l Ledger) WithShares(shares map[string]members.VersionShare, wall time.Time) Ledger {
+	next := l.clone()
+	if next.Rollouts == nil {
+		next.Rollouts = map[string]rollout.Progress{}
+	}
+	for service, progress := range next.Rollouts {
+		progress.Acknowledged = false
+		next.Rollouts[service] = progress
+	}
+	for service, share := range shares {
+		progress, known := next.Rollouts[service]
+		if !known || progress.Target != share.Version {
+			progress = rollout.Progress{Target: share.Version, State: rollout.Running, StartedAtMillis: wall.UnixMilli()}
+		}
+		if progress.State == rollout.Running {
+			next.Rollouts[service] = progress.WithShare(share.Share)
+		}
+	}
+	return next
+}
+
+// rememberShares keeps the shares that the holder has decided for the rollouts that operators
+// ordered, also while there is no holder.
+func (d *Driver) rememberShares(s *control.Snapshot, holder *members.Peer) {
+	shares := d.VersionShares()
+	if shares == nil && holder != nil {
+		shares = holder.VersionShares
+	}
+	for _, share := range shares {
+		d.remembered[share.Service] = share
+	}
+	maps.DeleteFunc(d.remembered, func(service string, share members.VersionShare) bool {
+		return s.View.Rollouts[service].Target != share.Version
+	})
+}
+
 // VersionShares returns the shares that rollouts give to their targets, as decided by
 // this host. It returns nil if this host does not hold the duties.
 func (d *Driver) VersionShares() []members.VersionShare {
--- a/internal/gateway/rollout/rollout.go
+++ b/internal/gateway/rollout/rollout.go
@@ -59,6 +59,16 @@
 	StartedAtMillis int64 `json:"began"`
 }
 
+// WithShare returns the progress with a share that was decided later. Only a rollout that was
+// rolled back gives its target no share.
+func (p Progress) WithShare(share float64) Progress {
+	p.Share = share
+	if share == 0 {
+		p.State = RolledBack
+	}
+	return p
+}
+
 // Run is a rollout as the holder of the duties decides on it.
 type Run struct {
 	Progress
