duty: the status of rollouts is written again behind a copy of the log

What callers saw: nothing yet; found by a test. Operators' record of a rollout's state, written once, is gone with what the copy lacks, so that a finished rollout looks unfinished at its deadline.

Evidence: TestStatusOfARolloutIsReportedAgainBehindADrill fails without the change (no further report) and holds.

Fix: a holder that goes on in a later epoch takes no state for acknowledged; one that claims on a copy's ledger doesn't either.

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -360,6 +360,9 @@
 	if l.OfEpoch(d.end.Epoch) {
 		return l
 	}
+	for _, run := range d.runs {
+		run.Acknowledged = false // operators' record of it may be gone
+	}
 	return l.Claim(d.Host, d.Incarnation, d.oldestWindow(), d.end)
 }
 
--- a/internal/gateway/duty/rollouts_test.go
+++ b/internal/gateway/duty/rollouts_test.go
@@ -74,3 +74,17 @@
 		require.Equal(t, rollout.RolledBack, sim.reported[len(sim.reported)-1])
 	}
 }
+
+// Guards against a status of a rollout that operators never get, since the copy lacks it.
+func TestStatusOfARolloutIsReportedAgainBehindADrill(t *testing.T) {
+	sim := newSimulation(3, 1)
+	sim.run(3 * time.Second)
+	sim.orderRollout(true)
+	sim.run(2 * time.Second)
+	reports := len(sim.reported)
+	require.Equal(t, rollout.RolledBack, sim.reported[reports-1])
+	sim.restoreCopy(2 * time.Second)
+	sim.run(2 * time.Second)
+	require.Len(t, sim.reported, reports+1)
+	require.Equal(t, rollout.RolledBack, sim.reported[reports])
+}
