duty: the holder's permission does not run out behind a drill

What callers saw: nothing; found by a test. The holder notices the later epoch by a write that fails, and paused as behind any failure, so that its permission ran out before it claimed again when the log had been away for 0.5 s.

Evidence: TestHolderGoesOnBehindADrill, extended, fails with the pause (age 1 s) and holds without it.

Fix: no pause behind the write by which the holder notices the later epoch.

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -400,8 +400,11 @@
 	unsettled := d.firstUnsettled(s, wall)
 	rolloutsChanged := d.stepRollouts(s, now)
 	if rolloutsChanged || unsettled > d.ledger.NextWindow || now-d.writtenAt >= checkpointInterval {
+		epoch := d.end.Epoch
 		if !d.writeLedger(ctx, d.renewed(d.ledger).Merge(d.counts).FinalizeReports(unsettled).WithRollouts(d.runs)) {
-			d.pausedUntil = d.Clock.Now() + callRetryDelay
+			if d.end.Epoch == epoch { // else the holder goes on in the later epoch at once
+				d.pausedUntil = d.Clock.Now() + callRetryDelay
+			}
 			return
 		}
 	}
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -579,20 +579,30 @@
 	require.Greater(t, sim.now-released, lease)
 }
 
-// Guards against a holder that gives up the duties, or waits, since the log came back from a copy.
+// Guards against a holder that gives up the duties, or waits, since the log was away for a moment
+// and came back from a copy.
 func TestHolderGoesOnBehindADrill(t *testing.T) {
-	sim := newSimulation(3, 1)
-	sim.run(16 * time.Second)
-	holder := sim.holder()
-	before, _ := holder.driver.HeldToken()
-	sim.restoreCopy(14 * time.Second)
-	sim.run(time.Second)
-	require.Same(t, holder, sim.holder())
-	after, _ := holder.driver.HeldToken()
-	require.Greater(t, after, before)
-	sim.run(10 * time.Second)
-	require.Empty(t, sim.violation)
-	require.Len(t, sim.reports, int(sim.now/window))
+	for _, away := range []time.Duration{0, 500 * time.Millisecond} {
+		sim := newSimulation(3, 1)
+		sim.run(16 * time.Second)
+		holder := sim.holder()
+		before, _ := holder.driver.HeldToken()
+		sim.logDown = true
+		sim.run(away)
+		sim.logDown = false
+		sim.restoreCopy(14 * time.Second)
+		for range 10 {
+			sim.run(stepLength)
+			_, age := holder.driver.HeldToken()
+			require.Less(t, age, time.Second, "its permission ran out")
+		}
+		require.Same(t, holder, sim.holder())
+		after, _ := holder.driver.HeldToken()
+		require.Greater(t, after, before)
+		sim.run(10 * time.Second)
+		require.Empty(t, sim.violation)
+		require.Len(t, sim.reports, int(sim.now/window))
+	}
 }
 
 // Invariant: no window is reported with two different counts, no two hosts use the
