proof, gateway: a host that starts behind a drill confirms no key by the copy alone

Cause: the time of a read counted as the proof that the configuration was the newest. A copy lacks what was written last.

Fix: package proof decides whether a read confirms the configuration: the proof is carried over from the epoch before, or the configuration was written since, or a peer or the ledger of the duties tells no higher version, or the log has no ledger. Digests contain the proven version, and responses to followers tell whether the reader has the proof. Reading, following and readiness go by the time of the last read, so a host without the proof reads no more often. No time-out stands in for the proof. In epoch 0 nothing changes and no call is added.

duty/proof.go reads the version from the ledger; the holder doesn't write it yet.

--- a/internal/gateway/applier_test.go
+++ b/internal/gateway/applier_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/control"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/proof"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 )
 
@@ -48,3 +49,53 @@
 	a.applyUpstreams(t.Context(), catalog.UpstreamUpdate{Next: 6}, 2*time.Second)
 	require.Equal(t, 1, count)
 }
+
+// Guards against a follower that takes the configuration of a reader without the proof for the
+// newest one.
+func TestUnprovenReaderConfirmsNothing(t *testing.T) {
+	document := catalog.OperatorChange{Document: &catalog.Document{Version: 4}}
+	listing := catalog.OperatorUpdate{Next: 5, Epoch: 1, Whole: true, Changes: []catalog.OperatorChange{document}}
+	var inputs []control.OperatorRead
+	newApplier := func() *updateApplier {
+		return &updateApplier{
+			copy: relay.NewCache(), submit: func(_ context.Context, input any) { inputs = append(inputs, input.(control.OperatorRead)) },
+			proofChanged: func(proof.State) {}, highestVersion: func() int64 { return 0 },
+		}
+	}
+	reader, follower := newApplier(), newApplier()
+	reader.applyOperator(t.Context(), listing, time.Minute)
+	request := relay.Request{Operator: -1, Upstreams: -1}
+	resp := reader.copy.Respond(t.Context(), request, time.Minute+time.Second)
+	require.Greater(t, resp.OperatorAge, time.Hour, "a former build goes by the age alone")
+	follower.applyRelayed(t.Context(), resp, time.Hour)
+	require.True(t, inputs[1].Update.Unproven)
+	require.Equal(t, time.Hour-time.Second, inputs[1].RequestedAt)
+	require.True(t, follower.currentProof().Missing())
+
+	reader.prove(t.Context(), proof.Ledger, 1, 4)
+	require.False(t, inputs[2].Update.Unproven)
+	require.Equal(t, time.Minute, inputs[2].RequestedAt, "the latest read confirms")
+	resp = reader.copy.Respond(t.Context(), request, time.Minute+time.Second)
+	require.Equal(t, time.Second, resp.OperatorAge)
+	follower.applyRelayed(t.Context(), resp, time.Hour)
+	require.False(t, inputs[3].Update.Unproven)
+	require.Equal(t, proof.Peer, follower.currentProof().Basis)
+}
+
+// Guards against a host that confirms its configuration although a peer tells a higher version.
+func TestHigherVersionOfAPeerKeepsAConfigurationUnconfirmed(t *testing.T) {
+	var last control.OperatorRead
+	highest := int64(0)
+	a := &updateApplier{
+		copy: relay.NewCache(), submit: func(_ context.Context, input any) { last = input.(control.OperatorRead) },
+		epochRose: func(int64, int64) {}, proofChanged: func(proof.State) {}, highestVersion: func() int64 { return highest },
+	}
+	document := catalog.OperatorChange{Document: &catalog.Document{Version: 4}}
+	a.applyOperator(t.Context(), catalog.OperatorUpdate{Next: 5, Whole: true, Changes: []catalog.OperatorChange{document}}, time.Second)
+	a.applyOperator(t.Context(), catalog.OperatorUpdate{Next: 3, Epoch: 1, Whole: true}, 2*time.Second)
+	require.False(t, last.Update.Unproven, "the proof is carried over")
+	highest = 5
+	a.applyOperator(t.Context(), catalog.OperatorUpdate{Next: 3, Epoch: 1}, 3*time.Second)
+	require.True(t, last.Update.Unproven)
+	require.True(t, a.currentProof().Behind)
+}
--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -189,6 +189,9 @@
 	// Next is the log offset to read from next, and Epoch its epoch.
 	Next  int64
 	Epoch int64 `msgpack:",omitempty"`
+	// Unproven is set while the changes may be older than acknowledged ones, see package
+	// proof. It is decided by each host.
+	Unproven bool `msgpack:"-"`
 }
 
 // Position returns the position to read from next.
--- a/internal/gateway/catalog/view.go
+++ b/internal/gateway/catalog/view.go
@@ -14,6 +14,10 @@
 	ColdUntil time.Duration
 }
 
+// NeverConfirmed is the ConfirmedAt of a configuration that was not confirmed yet: a host
+// may have started a moment ago, at a boot time near 0.
+const NeverConfirmed = -24 * time.Hour
+
 // View is what a host knows of configuration and upstreams at one moment. It is
 // immutable.
 type View struct {
@@ -22,6 +26,9 @@
 	// ConfirmedAt is the boot time at which the request was sent whose response
 	// last confirmed that Document is the newest.
 	ConfirmedAt time.Duration
+	// ReadAt is the boot time at which the request was sent whose response last contained
+	// the configuration, whether that is known to be the newest or not.
+	ReadAt time.Duration
 	// ListedAt is the boot time at which the request was sent whose response
 	// last confirmed the upstreams; 0 means that they were never read.
 	ListedAt time.Duration
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -176,7 +176,7 @@
 			delete(lost, reader)
 			g.events.Emit(eventRegained, zap.String("dependency", "reader "+reader))
 		}
-		g.updates.applyOperator(ctx, resp.Operator, requestedAt-resp.OperatorAge)
+		g.updates.applyRelayed(ctx, resp, requestedAt)
 		g.updates.applyUpstreams(ctx, resp.Upstreams, requestedAt-resp.UpstreamsAge)
 	}
 }
@@ -203,7 +203,7 @@
 // configuration or the list of upstreams.
 func (g *Gateway) viewAge(now time.Duration) time.Duration {
 	view := g.loop.Snapshot().View
-	return now - min(view.ConfirmedAt, view.ListedAt)
+	return now - min(view.ReadAt, view.ListedAt)
 }
 
 // readerCandidates returns the hosts that may read for others.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	eventCut           = event.Define(933, zapcore.WarnLevel, "connections in use were closed")
 	eventCrowded       = event.Define(937, zapcore.WarnLevel, "connections made room for others")
 	eventEpochRose     = event.Define(940, zapcore.WarnLevel, "log came back from a copy")
+	eventProof         = event.Define(941, zapcore.InfoLevel, "proof of the configuration")
 	eventPlacement     = event.Define(938, zapcore.InfoLevel, "placement by expected wait switched")
 )
 
@@ -184,7 +185,7 @@
 	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, g)
 	g.inFlight = inflight.NewTracker(g.remoteTokens)
 	g.observed = observation.NewRecorder(g.peerAddress)
-	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit, epochRose: g.reportEpoch}
+	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit, epochRose: g.reportEpoch, proofChanged: g.reportProof, highestVersion: g.highestVersion}
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
 		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Observed: g.observed, Usage: g.usage, Events: events,
@@ -223,6 +224,7 @@
 	go g.readLog(ctx, "log: operators", g.readOperator)
 	go g.readLog(ctx, "log: upstreams", g.readUpstreams)
 	go g.follow(ctx)
+	go g.seekProof(ctx)
 	go g.discoverPeers(ctx)
 	go g.receiveDigests(ctx, socket)
 	go g.sendDigests(ctx, socket)
@@ -250,13 +252,13 @@
 	return ctx
 }
 
-// ready reports whether the host is ready for callers: the age of its
-// configuration is below RevokeKeysWithin, the list of upstreams was read, and
-// the host is not stopping.
+// ready reports whether the host is ready for callers: it read its configuration less
+// than RevokeKeysWithin ago and the list of upstreams at all, and is not stopping. It may
+// still lack the proof that the configuration is the newest.
 func (g *Gateway) ready() bool {
 	current := g.loop.Snapshot().View
 	return !g.stopping.Load() && current.Document != nil && current.ListedAt > 0 &&
-		boottime.Now()-current.ConfirmedAt < g.options.RevokeKeysWithin.D()
+		boottime.Now()-current.ReadAt < g.options.RevokeKeysWithin.D()
 }
 
 // ConfigChanged implements control.Observer.
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -123,10 +123,14 @@
 	Paces []Pace `msgpack:"paces,omitempty"`
 	// Observed are recent observations of the host.
 	Observed *Observations `msgpack:"observed,omitempty"`
+	// ProvenVersion is the version of the configuration that the host last knew to be the
+	// newest, and ProvenEpoch the epoch of the log in which it did.
+	ProvenEpoch   int64 `msgpack:"provenEpoch,omitempty"`
+	ProvenVersion int64 `msgpack:"proven,omitempty"`
 }
 
 func (e Extension) empty() bool {
-	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil
+	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil && e.ProvenVersion == 0
 }
 
 // paces returns the paces of versions as they are sent.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -267,6 +267,7 @@
 	crashes, cleared := g.poison.DigestEntries(now)
 	token, age := g.duties.HeldToken()
 	view := g.loop.Snapshot().View
+	provenEpoch, provenVersion := g.provenConfig()
 	return &members.Digest{
 		Host: g.options.Host, Zone: g.options.AvailabilityZone, CallerAddress: g.options.Listen.Callers, PeerAddress: g.peerAddress,
 		Incarnation: g.incarnation, Sequence: g.digestSequence, Ready: g.ready(), Stopping: g.stopping.Load(),
@@ -274,7 +275,7 @@
 		Crashes: crashes, Cleared: cleared,
 		QuotaUsed: g.quota.Used(), Usage: g.usage.Recent(g.usage.Now()), Demand: g.inFlight.Demand(),
 		VersionStats: g.inFlight.VersionStats(view.Rollouts), TargetStats: g.inFlight.TargetStats(view), VersionShares: g.duties.VersionShares(),
-		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving(), Tree: true, Strength: g.options.Strength, Uptime: now - g.startedAt, Observed: g.observed.Recent(now)},
+		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving(), Tree: true, Strength: g.options.Strength, Uptime: now - g.startedAt, Observed: g.observed.Recent(now), ProvenEpoch: provenEpoch, ProvenVersion: provenVersion},
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/prove.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/marigoldmux/marigoldmux/internal/boottime"
+	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/duty"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/proof"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
+)
+
+// proofInterval is the pause between two calls for the proof of the configuration.
+const proofInterval = time.Second
+
+// proofSeeker looks for the proof of the configuration while this host lacks it.
+type proofSeeker struct {
+	g      *Gateway
+	client *relay.Client
+	ledger *dependency
+	// nextCallAt is the boot time from which it may call a peer or the log again.
+	nextCallAt time.Duration
+}
+
+// seekProof looks for the proof until the context ends.
+func (g *Gateway) seekProof(ctx context.Context) {
+	seeker := &proofSeeker{g: g, client: relay.NewClient(), ledger: &dependency{g: g, name: "log: proof"}}
+	for ctx.Err() == nil {
+		seeker.step(ctx, boottime.Now())
+		sleep(ctx, roleCheckInterval)
+	}
+}
+
+// step compares the configuration with those of the peers that have the proof. If that is not
+// enough, it reads a newer configuration from such a peer, or the ledger of the duties.
+func (s *proofSeeker) step(ctx context.Context, now time.Duration) {
+	state := s.g.updates.currentProof()
+	if !state.Missing() && !state.Behind {
+		return
+	}
+	peer := s.g.provenPeer(state.Epoch)
+	if peer != nil && peer.Extension.ProvenVersion <= state.Version {
+		s.g.updates.prove(ctx, proof.Peer, state.Epoch, peer.Extension.ProvenVersion)
+		return
+	}
+	if now < s.nextCallAt {
+		return
+	}
+	s.nextCallAt = now + time.Duration(float64(proofInterval)*(0.75+rand.Float64()/2))
+	switch {
+	case peer != nil:
+		s.readFrom(ctx, peer)
+	case state.Missing() && s.g.source.Load().ReadsLog:
+		s.readLedger(ctx, state.Epoch)
+	}
+}
+
+// provenPeer returns one of the peers that have the proof in an epoch, nil if there is none.
+func (g *Gateway) provenPeer(epoch int64) *members.Peer {
+	var proven []*members.Peer
+	for _, p := range g.loop.Snapshot().Peers {
+		if p.Extension.ProvenEpoch == epoch && !p.Stopping {
+			proven = append(proven, p)
+		}
+	}
+	if len(proven) == 0 {
+		return nil
+	}
+	return proven[rand.IntN(len(proven))]
+}
+
+// readFrom reads the configuration from a peer that has the proof.
+func (s *proofSeeker) readFrom(ctx context.Context, peer *members.Peer) {
+	requestedAt := boottime.Now()
+	_, upstreams := s.g.updates.copy.Positions()
+	resp, err := s.client.Read(ctx, peer.PeerAddress, relay.Request{
+		Operator: topic.Unread.Offset, Upstreams: upstreams.Offset, UpstreamsEpoch: upstreams.Epoch,
+	})
+	if err != nil {
+		s.g.events.Emit(eventLost, zap.String("dependency", "proof of "+peer.Host), event.Err(err))
+		return
+	}
+	s.g.updates.applyRelayed(ctx, resp, requestedAt)
+}
+
+// readLedger takes the proof from the ledger of the duties. A log without one is that of a
+// deployment that starts for the first time.
+func (s *proofSeeker) readLedger(ctx context.Context, epoch int64) {
+	version, ledgerEpoch, known, err := duty.ProvenVersion(ctx, s.g.ports.Feed)
+	if err != nil {
+		s.ledger.failed(err)
+		return
+	}
+	s.ledger.succeeded()
+	switch {
+	case !known:
+		s.g.updates.prove(ctx, proof.FirstStart, epoch, 0)
+	case version > 0 && ledgerEpoch == epoch:
+		s.g.updates.prove(ctx, proof.Ledger, epoch, version)
+	}
+}
+
+// highestVersion returns the highest version of the configuration that a peer tells, 0 if none
+// does.
+func (g *Gateway) highestVersion() int64 {
+	highest := int64(0)
+	for _, p := range g.loop.Snapshot().Peers {
+		highest = max(highest, p.Extension.ProvenVersion)
+	}
+	return highest
+}
+
+// reportProof emits an event about the proof of the configuration.
+func (g *Gateway) reportProof(state proof.State) {
+	g.events.Emit(eventProof, zap.Bool("proven", !state.Missing()), zap.String("by", string(state.Basis)),
+		zap.Int64("epoch", state.Epoch), zap.Int64("version", state.Version))
+}
+
+// provenConfig returns the version of the configuration that this host last knew to be the newest,
+// and the epoch of the log in which it did. In a log that never came back from a copy peers
+// need neither.
+func (g *Gateway) provenConfig() (epoch, version int64) {
+	state := g.updates.currentProof()
+	if state.Epoch == 0 {
+		return 0, 0
+	}
+	return state.ProvenEpoch, state.ProvenVersion
+}
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -41,14 +41,22 @@
 	// successful request to the log until it received the follower's request;
 	// they are negative if the request to the log was sent later.
 	OperatorAge, UpstreamsAge time.Duration
+	// OperatorLag is the time from the newest request whose response is known to be the
+	// newest configuration to the newest one at all.
+	OperatorLag time.Duration `msgpack:",omitempty"`
+	// ProvenEpoch is the latest epoch of the log in which the reader could tell that its
+	// configuration is the newest.
+	ProvenEpoch int64 `msgpack:",omitempty"`
 }
 
 // cachedTopic is what a host last read of one topic.
 type cachedTopic[C any] struct {
 	table *table[C]
 	// confirmedAt is the boot time at which the request was sent whose response
-	// last confirmed the table.
-	confirmedAt time.Duration
+	// last confirmed the table, and readAt is that of the last response at all.
+	confirmedAt, readAt time.Duration
+	// provenEpoch is the latest epoch in which the table was confirmed.
+	provenEpoch int64
 }
 
 // applyUpdate applies the response to a request that was sent at a boot time. It
@@ -57,8 +65,13 @@
 	if !t.table.accepts(u) {
 		return false, false
 	}
-	t.confirmedAt = max(t.confirmedAt, requestedAt)
-	return true, t.table.apply(u)
+	t.readAt = max(t.readAt, requestedAt)
+	proven := !u.Unproven && u.Epoch > t.provenEpoch
+	if !u.Unproven {
+		t.confirmedAt = max(t.confirmedAt, requestedAt)
+		t.provenEpoch = u.Epoch
+	}
+	return true, t.table.apply(u) || proven
 }
 
 // Cache is what a host last read of the log. It is safe for concurrent use.
@@ -74,6 +87,7 @@
 func NewCache() *Cache {
 	c := &Cache{changed: make(chan struct{})}
 	c.operator.table = newTable(operatorKind)
+	c.operator.confirmedAt = catalog.NeverConfirmed
 	c.upstreams.table = newTable(upstreamKind)
 	return c
 }
@@ -157,5 +171,6 @@
 		Operator:    c.operator.table.updateSince(r.operator()),
 		Upstreams:   c.upstreams.table.updateSince(r.upstreams()),
 		OperatorAge: receivedAt - c.operator.confirmedAt, UpstreamsAge: receivedAt - c.upstreams.confirmedAt,
+		OperatorLag: c.operator.readAt - c.operator.confirmedAt, ProvenEpoch: c.operator.provenEpoch,
 	}
 }
--- a/internal/gateway/view/view.go
+++ b/internal/gateway/view/view.go
@@ -38,6 +38,7 @@
 type Builder struct {
 	document    *catalog.Document
 	confirmedAt time.Duration
+	readAt      time.Duration
 	listedAt    time.Duration
 	// outageEndedAt is the boot time at which the first successful request after
 	// the last outage was sent, 0 if there was no outage.
@@ -93,6 +94,7 @@
 	return &Builder{
 		upstreams: map[string]*upstreamState{}, excludedZones: map[string]bool{},
 		rollouts: map[string]catalog.Rollout{}, operatorAt: topic.Unread, upstreamsAt: topic.Unread, dirty: true,
+		confirmedAt: catalog.NeverConfirmed,
 	}
 }
 
@@ -105,7 +107,10 @@
 		return false
 	}
 	b.operatorAt = update.Position()
-	b.confirmedAt = max(b.confirmedAt, requestedAt)
+	b.readAt = max(b.readAt, requestedAt)
+	if !update.Unproven {
+		b.confirmedAt = max(b.confirmedAt, requestedAt)
+	}
 	b.dirty = true
 	if update.Whole {
 		b.excludedZones = map[string]bool{}
@@ -241,7 +246,7 @@
 		return b.cached
 	}
 	view := &catalog.View{
-		Document: b.document, ConfirmedAt: b.confirmedAt, ListedAt: b.listedAt,
+		Document: b.document, ConfirmedAt: b.confirmedAt, ReadAt: b.readAt, ListedAt: b.listedAt,
 		Members: map[string][]*catalog.Member{}, ExcludedZones: map[string]bool{}, Rollouts: map[string]catalog.Rollout{},
 	}
 	if b.cached != nil {
