reconcile: an upstream whose clock was set back is used again behind a drill

Found by reading, before any landing.

Fix: the order of reports counts for two minutes behind a drill, and only where both have a start time and a sequence number. Also: a proof no longer wakes the followers of a reader, which compared positions only and went on waiting.

--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -149,12 +149,16 @@
 	Sequence int64 `msgpack:",omitempty"`
 }
 
-// NewerThan reports whether a report was written after another one of the same upstream.
+// NewerThan reports whether a report is known to be written after another one of the same
+// upstream.
 func (u *Upstream) NewerThan(other *Upstream) bool {
+	if u.Born == 0 || other.Born == 0 {
+		return false
+	}
 	if u.Born != other.Born {
 		return u.Born > other.Born
 	}
-	return u.Sequence > other.Sequence
+	return other.Sequence > 0 && u.Sequence > other.Sequence
 }
 
 // Rollout orders a service's traffic to be moved to a version.
--- a/internal/gateway/reconcile/upstreams.go
+++ b/internal/gateway/reconcile/upstreams.go
@@ -13,8 +13,10 @@
 	// keepUpstreams is how long an upstream is kept that the log lacks: one that is alive
 	// reports again within three heartbeats of 1.2 s.
 	keepUpstreams = 4 * time.Second
-	// removalMemory is how long the removal of an upstream is remembered; copies are younger.
-	removalMemory = 2 * time.Minute
+	// settlePeriod is the time behind a drill in which older reports than the known ones may
+	// still be read, and for which removals are remembered. Copies are younger, and reports
+	// expire sooner.
+	settlePeriod = 2 * time.Minute
 )
 
 // upstream is an upstream as the host knows it.
@@ -32,7 +34,9 @@
 // zero value knows nothing.
 type Upstreams struct {
 	epoch int64
-	known map[string]upstream
+	// settledAt is when the order of reports no longer matters.
+	settledAt time.Duration
+	known     map[string]upstream
 }
 
 // Apply returns the update to apply in place of one that was read by a request sent at a boot
@@ -41,6 +45,9 @@
 	if s.known == nil {
 		s.known = map[string]upstream{}
 	}
+	if u.Epoch > s.epoch {
+		s.settledAt = requestedAt + settlePeriod
+	}
 	u.Changes = s.merge(u, requestedAt)
 	s.epoch = max(s.epoch, u.Epoch)
 	for _, change := range u.Changes {
@@ -59,7 +66,7 @@
 		known, isKnown := s.known[change.ID]
 		listed[change.ID] = true
 		switch {
-		case !isKnown || change.Upstream == nil || !s.outdated(known, change.Upstream, u):
+		case !isKnown || change.Upstream == nil || !s.outdated(known, change.Upstream, u, requestedAt):
 			changes = append(changes, change)
 		case u.Whole && !known.removed:
 			changes = append(changes, catalog.UpstreamChange{ID: change.ID, Upstream: known.report})
@@ -71,10 +78,10 @@
 	return changes
 }
 
-// outdated reports whether a report is older than what is known of its upstream. In the first
-// epoch that the host has read, the log is in order.
-func (s *Upstreams) outdated(known upstream, report *catalog.Upstream, u catalog.UpstreamUpdate) bool {
-	if u.Epoch == 0 {
+// outdated reports whether a report is older than what is known of its upstream. Later, a lower
+// number may also mean that the clock of an upstream was set back.
+func (s *Upstreams) outdated(known upstream, report *catalog.Upstream, u catalog.UpstreamUpdate, requestedAt time.Duration) bool {
+	if u.Epoch == 0 || requestedAt >= s.settledAt {
 		return false
 	}
 	if known.removed && known.removedIn == u.Epoch {
@@ -135,7 +142,7 @@
 func (s *Upstreams) drop(now time.Duration) []catalog.UpstreamChange {
 	var dropped []catalog.UpstreamChange
 	for id, known := range s.known {
-		if known.removed && now-known.removedAt > removalMemory {
+		if known.removed && now-known.removedAt > settlePeriod {
 			delete(s.known, id)
 			continue
 		}
--- a/internal/gateway/reconcile/upstreams_test.go
+++ b/internal/gateway/reconcile/upstreams_test.go
@@ -39,6 +39,19 @@
 	require.Len(t, known.Apply(reports(1, false, report(4, false)), 5*time.Second).Changes, 1)
 }
 
+// Guards against an upstream that is never used again, since its clock was set back or its reports
+// have no order.
+func TestReportsOfALaterTimeAreAlwaysUsed(t *testing.T) {
+	var known reconcile.Upstreams
+	known.Apply(reports(0, true, report(3, false)), time.Second)
+	known.Apply(reports(1, true, report(3, false)), 2*time.Second)
+	require.Empty(t, known.Apply(reports(1, false, report(2, false)), 3*time.Second).Changes)
+	require.Len(t, known.Apply(reports(1, false, report(0, false)), 3*time.Second).Changes, 1)
+	restarted := report(1, false)
+	restarted.Upstream.Born = 6
+	require.Len(t, known.Apply(reports(1, false, restarted), 5*time.Minute).Changes, 1)
+}
+
 // Guards against a copy, or records written again out of order, that undo what the host knows of
 // an upstream: behind any number of drills the newest report that was read counts.
 func TestUpstreamNeverGoesBackBehindADrill(t *testing.T) {
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -66,12 +66,11 @@
 		return false, false
 	}
 	t.readAt = max(t.readAt, requestedAt)
-	proven := !u.Unproven && u.Epoch > t.provenEpoch
 	if !u.Unproven {
 		t.confirmedAt = max(t.confirmedAt, requestedAt)
 		t.provenEpoch = u.Epoch
 	}
-	return true, t.table.apply(u) || proven
+	return true, t.table.apply(u)
 }
 
 // Cache is what a host last read of the log. It is safe for concurrent use.
