--- a/internal/gateway/duty/proof.go
+++ b/internal/gateway/duty/proof.go
@@ -2,36 +2,25 @@
 
 import (
 	"context"
-	"encoding/json"
-
-	"github.com/rotisserie/eris"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
 )
 
-// tokenEpochShift is the number of bits of a token below those of its epoch.
-const tokenEpochShift = 32
-
-// ProvenVersion reads the version of the configuration that the latest holder of the duties knew
-// to be the newest, 0 if it knew none, and the epoch of the holder's token. known is false if the
-// log has no ledger.
+// ProvenVersion reads the newest configuration version that a holder of the duties knew to be
+// in force, and the epoch of the log in which it was read. The version is 0 if no host has
+// held the duties in that epoch: what a copy of the log says may be old. It reports by known
+// whether the log has a ledger at all.
 func ProvenVersion(ctx context.Context, log topic.Keyed) (version, epoch int64, known bool, err error) {
-	entries, _, err := log.Newest(ctx, ledgerTopic)
+	entries, end, err := log.Newest(ctx, ledgerTopic)
+	if err != nil {
+		return 0, 0, false, err
+	}
+	ledger, known, err := newestLedger(entries)
 	if err != nil {
 		return 0, 0, false, err
 	}
-	for _, entry := range entries {
-		if entry.Key != ledgerKey {
-			continue
-		}
-		var ledger struct {
-			Token         int64 `json:"token"`
-			ConfigVersion int64 `json:"config"`
-		}
-		if err := json.Unmarshal(entry.Value, &ledger); err != nil {
-			return 0, 0, true, eris.Wrap(ErrLedger, err.Error())
-		}
-		return ledger.ConfigVersion, ledger.Token >> tokenEpochShift, true, nil
+	if ledger.OfEpoch(end.Epoch) {
+		version = ledger.ConfigVersion
 	}
-	return 0, 0, false, nil
+	return version, end.Epoch, known, nil
 }
