gateway: the holder of the duties tells the ledger which configuration it proved

What callers would see: a fleet that restarts as a whole behind a drill, after operators have written again, refuses all keys until they write once more, since nothing in the log shows that the configuration is the newest.

Cause: nothing set the version that the ledger has room for.

Fix: the holder writes the version that it proved in the present epoch; in epoch 0 none, so that ledgers stay as they are. The ledger's proof, and its absence, count only if it was read in the epoch that the host reads.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,6 +194,7 @@
 	g.duties = duty.NewDriver(duty.Deps{
 		Host: o.Host, Strength: o.Strength, Incarnation: g.incarnation, Log: ports.Feed, Cloud: ports.Cloud, Snapshots: g.loop,
 		Usage: g.usage, Planner: capacity.NewPlanner(g.inFlight), Stats: g.inFlight, RolloutReporter: ports.Feed, Events: events, Lease: o.DutyLease.D(),
+		ProvenVersion: g.provenVersion,
 	})
 	return g
 }
--- a/internal/gateway/prove.go
+++ b/internal/gateway/prove.go
@@ -98,10 +98,13 @@
 		return
 	}
 	s.ledger.succeeded()
+	if ledgerEpoch != epoch {
+		return
+	}
 	switch {
 	case !known:
 		s.g.updates.prove(ctx, proof.FirstStart, epoch, 0)
-	case version > 0 && ledgerEpoch == epoch:
+	case version > 0:
 		s.g.updates.prove(ctx, proof.Ledger, epoch, version)
 	}
 }
@@ -132,3 +135,13 @@
 	}
 	return state.ProvenEpoch, state.ProvenVersion
 }
+
+// provenVersion returns the version that the ledger of the duties is to tell, 0 while this host
+// lacks the proof and where peers need none.
+func (g *Gateway) provenVersion() int64 {
+	state := g.updates.currentProof()
+	if state.Epoch == 0 || state.ProvenEpoch != state.Epoch {
+		return 0
+	}
+	return state.ProvenVersion
+}
