--- a/internal/gateway/prove.go
+++ b/internal/gateway/prove.go
@@ -98,10 +98,13 @@
 		return
 	}
 	s.ledger.succeeded()
+	if ledgerEpoch != epoch {
+		return
+	}
 	switch {
 	case !known:
 		s.g.updates.prove(ctx, proof.FirstStart, epoch, 0)
-	case version > 0 && ledgerEpoch == epoch:
+	case version > 0:
 		s.g.updates.prove(ctx, proof.Ledger, epoch, version)
 	}
 }
@@ -122,16 +125,6 @@
 		zap.Int64("epoch", state.Epoch), zap.Int64("version", state.Version))
 }
 
-// provenVersion returns the version of the configuration that this host knows to be the newest in
-// the present epoch of the log, 0 if it knows none.
-func (g *Gateway) provenVersion() int64 {
-	epoch, version := g.provenConfig()
-	if epoch < g.updates.epoch.Load() {
-		return 0
-	}
-	return version
-}
-
 // provenConfig returns the version of the configuration that this host last knew to be the newest,
 // and the epoch of the log in which it did. In a log that never came back from a copy peers
 // need neither.
@@ -142,3 +135,13 @@
 	}
 	return state.ProvenEpoch, state.ProvenVersion
 }
+
+// provenVersion returns the version that the ledger of the duties is to tell, 0 while this host
+// lacks the proof and where peers need none.
+func (g *Gateway) provenVersion() int64 {
+	state := g.updates.currentProof()
+	if state.Epoch == 0 || state.ProvenEpoch != state.Epoch {
+		return 0
+	}
+	return state.ProvenVersion
+}
