--- a/internal/gateway/upconn/alive.go
+++ b/internal/gateway/upconn/alive.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -34,6 +35,15 @@
 	return err == nil && ctx.Err() == nil
 }
 
+// Probe opens a connection to an upstream and closes it after aliveFor. It returns an error
+// if the upstream does not accept it or closes it earlier.
+func Probe(ctx context.Context, address string) error {
+	if err := hold(ctx, address); err != nil {
+		return eris.Wrap(ErrDial, err.Error())
+	}
+	return nil
+}
+
 // hold opens a connection and keeps it for aliveFor. It returns an error if the upstream
 // does not accept it or closes it earlier: a proxy accepts connections to an upstream that
 // is gone, and closes them.
