--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -127,10 +127,15 @@
 	// newest, and ProvenEpoch the epoch of the log in which it did.
 	ProvenEpoch   int64 `msgpack:"provenEpoch,omitempty"`
 	ProvenVersion int64 `msgpack:"proven,omitempty"`
+	// TakesForwarded is set when the host takes requests that its peers forward to it, and
+	// Isolated when it reaches no upstream itself.
+	TakesForwarded bool `msgpack:"takes,omitempty"`
+	Isolated       bool `msgpack:"isolated,omitempty"`
 }
 
 func (e Extension) empty() bool {
-	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil && e.ProvenVersion == 0
+	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil &&
+		e.ProvenVersion == 0 && !e.TakesForwarded && !e.Isolated
 }
 
 // paces returns the paces of versions as they are sent.
