gateway: hosts that reach no upstream forward requests to peers

The host knew only that single upstreams failed, and had no way to serve a request but its own connections.

A host that is isolated (package reach) forwards each request with its original head to a peer, one hop at most, and hands the answer on: a stream as it arrives, a refusal unchanged, a broken stream broken off. A peer's 503 and a connection that can't be opened are followed by one more peer; a connection that is lost behind a request counts as a request that may have run. Quota, usage and the retry budget are the peer's. A request that found two upstreams out of reach goes to a peer before the host is known to be isolated, and a resumable stream that the cut broke off goes on through a peer. An isolated host suspects no upstream in its digests, and reports no crash that is its own cut.

--- a/internal/gateway/compat_test.go
+++ b/internal/gateway/compat_test.go
@@ -33,6 +33,7 @@
 	require.NoError(t, json.Unmarshal(data, &values))
 	names := strings.Fields(`Answered Refused Cut Left Stray Held PoisonTrials Active LeavingUpstreams UpstreamPauses Dials LogLinesDropped LogLinesSampled
 		ConfigVersion ConfigAgeMs ListAgeMs LogEpoch Peers Holders DutyToken HeapBytes Goroutines LatencyMs ResidentBytes Connections ClosedIdle RefusedHeads
-		ForecastRefusals SharedPromptTokens HeldPromptTokens IndexedPrefixes EnginesWithSlowdown FastExchange ForecastErrorMs`)
+		ForecastRefusals SharedPromptTokens HeldPromptTokens IndexedPrefixes EnginesWithSlowdown FastExchange ForecastErrorMs
+		Isolated ForwardedToPeers`)
 	require.ElementsMatch(t, names, slices.Collect(maps.Keys(values)))
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -115,6 +115,10 @@
 	DecodeCall(r *http.Request) (*Call, error)
 	// UpstreamHeader returns the header of a request to an upstream.
 	UpstreamHeader(c *Call, params UpstreamParams) http.Header
+	// PeerHeader returns the header of a caller's request as another host gets it: what
+	// the caller sent, with the time that is left of its deadline, and the ID of the event
+	// after which a stream is to resume unless resumeAfter is empty.
+	PeerHeader(r *http.Request, remaining time.Duration, resumeAfter string) http.Header
 	// DecodeResponse decodes the head of an upstream's response.
 	DecodeResponse(resp *http.Response) Response
 	// CopyResponseHeader copies the header of an upstream's response to the one
--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -32,6 +32,9 @@
 	// maxResponses bounds the responses read on a connection to find the one to
 	// this attempt.
 	maxResponses = 16
+	// slowDial is the time after which a connection that is not open yet raises doubt that
+	// upstreams can be reached.
+	slowDial = 200 * time.Millisecond
 	// rejectionTimeout bounds the time to read the body of a rejection.
 	rejectionTimeout = 50 * time.Millisecond
 )
@@ -78,7 +81,9 @@
 	defer cancel()
 	p.upstream = m.ID
 	p.attempts++
+	slow := time.AfterFunc(slowDial, p.h.Reach.Doubt)
 	conn, err := p.h.Pool.Get(ctx, m.ID, m.Address, p.maxIdle())
+	slow.Stop()
 	if err != nil {
 		return p.notSentOutcome(err)
 	}
@@ -160,6 +165,9 @@
 		if err != nil {
 			return false, 0, a.errorOutcome(err)
 		}
+		if !a.conn.Reused() {
+			a.h.Reach.Reached()
+		}
 		// Upstreams echo the ID in all responses. What a response without it says,
 		// be it that the request has not run, may concern another request.
 		if head.ID == "" && a.call.ID != "" {
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -51,6 +51,8 @@
 	// LeavingUpstreams counts the upstreams that told this host that they leave,
 	// UpstreamPauses the responses in which one wanted no requests for a while.
 	LeavingUpstreams, UpstreamPauses atomic.Int64
+	// ForwardedToPeers counts the requests that a peer answered for this host.
+	ForwardedToPeers atomic.Int64
 
 	mu        sync.Mutex
 	latencies histograms
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -23,6 +23,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/observation"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/poison"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/quota"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/reach"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/retry"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/upconn"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/usage"
@@ -66,6 +67,8 @@
 	Observed *observation.Recorder
 	Usage    *usage.Counter
 	Events   *event.Logger
+	// Reach knows whether this host is cut off from all upstreams.
+	Reach *reach.Monitor
 	// VersionShares returns the share, from 0 to 1, of a service's requests that
 	// go to the target version of a rollout.
 	VersionShares interface {
@@ -85,6 +88,7 @@
 	// bodies is the memory that the bodies of all requests may take.
 	bodies   *bodybuf.Memory
 	lost     lostStreams
+	peers    *peerPool
 	stopping atomic.Pointer[StopDeadlines]
 	// ending is done when the process is about to end.
 	ending        context.Context
@@ -103,7 +107,7 @@
 
 // New returns a Handler with the given dependencies.
 func New(deps Deps) *Handler {
-	h := &Handler{Deps: deps, bodies: bodybuf.NewMemory(maxBufferedBytes)}
+	h := &Handler{Deps: deps, bodies: bodybuf.NewMemory(maxBufferedBytes), peers: newPeerPool()}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
@@ -133,6 +137,12 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	service  string
+	// forwardedBy is the name of the host that forwarded the request to this one, "" if it
+	// came from its caller. peersTried holds the incarnations of the peers to which this host
+	// forwarded it, and peer is the name of the latest.
+	forwardedBy string
+	peersTried  map[uint64]bool
+	peer        string
 	// buffers holds the bodies of the request and its responses. bodyRead is set when the
 	// body of the request was read whole.
 	buffers  []*bodybuf.Buffers
@@ -154,8 +164,9 @@
 	attempted map[string]bool
 	// closedIdle is the ID of an upstream of an earlier attempt that may only have closed
 	// an idle connection; it is tried again if there is no other.
-	closedIdle            string
-	attempts, sends, runs int
+	closedIdle string
+	// unreached counts the attempts in which the upstream was out of reach.
+	attempts, unreached, sends, runs int
 	// retryReserved is set when the next send is already counted against the
 	// retry budget.
 	retryReserved bool
@@ -190,10 +201,16 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	deletePeerHeaders(r.Header)
+	h.handle(w, r, origin{})
+}
+
+// handle serves a request of a caller, or one that a host has forwarded.
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request, from origin) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	call, err := h.Codec.DecodeCall(r)
-	p := &proxyRequest{h: h, w: w, r: r, call: call, attempted: map[string]bool{}}
+	p := &proxyRequest{h: h, w: w, r: r, call: call, forwardedBy: from.host, usageCounted: from.usageCounted, attempted: map[string]bool{}}
 	defer p.releaseBuffers()
 	defer p.boundRest()
 	p.boundWrites(call.Arrived + defaultTimeout)
@@ -202,7 +219,14 @@
 		p.refuse(http.StatusBadRequest, "malformed", 0)
 		return
 	}
-	if p.admit() && p.readBody() && p.readmit() && p.takeQuota() {
+	if !p.admit() || !p.readBody() || !p.readmit() {
+		return
+	}
+	p.service = pickService(p.route)
+	if h.Reach.Avoid() && p.serveByPeer() {
+		return
+	}
+	if p.takeQuota() {
 		p.serve()
 	}
 }
@@ -353,11 +377,9 @@
 	return min(max(p.route.Priority, 0), ranksPerCustomerPriority-1)
 }
 
-// takeQuota picks the service and takes the cost of the request from the quota
-// of its customer. It reports whether the quota allows the request; otherwise
-// it has been refused.
+// takeQuota takes the cost of the request from the quota of its customer. It
+// reports whether the quota allows the request; otherwise it has been refused.
 func (p *proxyRequest) takeQuota() bool {
-	p.service = pickService(p.route)
 	if p.customer == nil {
 		return true
 	}
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -139,6 +139,10 @@
 // emits events about the crash and the requests held from then on.
 func (h *Handler) checkCrashed(m *catalog.Member) {
 	err := upconn.Check(m.Address)
+	if err != nil && h.Reach.Check(h.ending) {
+		// This host was cut off from the upstream.
+		err = nil
+	}
 	lost, held := h.Poison.FinishCheck(instanceKey(m), err != nil, boottime.Now())
 	// A loss after FinishCheck starts another check, one before is counted here.
 	h.countLostStreams(m.ID, err != nil)
--- a/internal/gateway/forward/response.go
+++ b/internal/gateway/forward/response.go
@@ -184,6 +184,12 @@
 		zap.Duration("took", now-p.call.Arrived), zap.Int64("config", p.configVersion),
 		zap.Duration("configAge", p.configAge),
 	}
+	if p.peer != "" {
+		fields = append(fields, zap.String("peer", p.peer))
+	}
+	if p.forwardedBy != "" {
+		fields = append(fields, zap.String("forwardedBy", p.forwardedBy))
+	}
 	if p.call.Prompt != nil {
 		fields = append(fields, zap.Int("promptTokens", p.call.Prompt.InputTokens))
 	}
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -32,12 +32,15 @@
 			p.giveUpTimeout()
 			return
 		}
+		if p.attempts > 0 && p.h.Reach.Isolated() && p.serveByPeer() {
+			return
+		}
 		if !p.admitPoison() {
 			return
 		}
 		member, reason := p.chooseUpstream()
 		if member == nil {
-			p.giveUp(reason)
+			p.giveUpUnlessServedByPeer(reason)
 			return
 		}
 		if p.sends > 0 && !p.reserveRetry(boottime.Now()) {
@@ -51,12 +54,24 @@
 			return
 		}
 		if !p.mayRetry(result) {
-			p.giveUp(result.reason)
+			p.giveUpUnlessServedByPeer(result.reason)
 			return
 		}
 	}
 }
 
+// minUnreached is the number of upstreams that one request found out of reach from which a
+// peer is asked to serve it, before it is known whether this host is isolated.
+const minUnreached = 2
+
+// giveUpUnlessServedByPeer ends a request that this host can't send to any upstream.
+func (p *proxyRequest) giveUpUnlessServedByPeer(reason string) {
+	if p.unreached >= minUnreached && p.r.Context().Err() == nil && p.serveByPeer() {
+		return
+	}
+	p.giveUp(reason)
+}
+
 // attemptWithQuota makes an attempt. A request that may have run before is
 // charged to the customer's quota again.
 func (p *proxyRequest) attemptWithQuota(m *catalog.Member) outcome {
@@ -86,7 +101,7 @@
 	if result.disposition == notSent || result.disposition == notRun {
 		return true
 	}
-	return p.repeatable() && p.runs < p.route.MaxAttempts
+	return p.mayRunAgain()
 }
 
 // repeatable reports whether another upstream may run a request that may have run.
@@ -288,9 +303,12 @@
 		p.h.InFlight.RecordLatency(m.ID, result.extraLatency, now)
 	case notSent:
 		if !result.withheld {
+			p.unreached++
 			p.h.InFlight.MarkSuspect(m.ID, now)
+			p.h.Reach.Doubt()
 		}
 	case unknown:
+		p.h.Reach.Doubt()
 		p.h.InFlight.RecordFailure(m.ID, now)
 		if result.unresponsive {
 			p.h.InFlight.MarkSuspect(m.ID, now)
@@ -312,6 +330,10 @@
 // recordVersionResult records the result of an attempt for the version of its
 // upstream.
 func (p *proxyRequest) recordVersionResult(m *catalog.Member, result outcome) {
+	if result.disposition != finished && p.h.Reach.Isolated() {
+		// It says nothing about the version.
+		return
+	}
 	switch result.disposition {
 	case finished, unknown, failed:
 		outcome := inflight.Outcome{
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -301,8 +301,8 @@
 // continuesStream reports whether a response is of the kind of the one that the caller
 // already has a part of. An upstream that fails to resume a stream may say so with a
 // success and a body that is none of its events.
-func (a *attempt) continuesStream(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusOK && mediaType(resp.Header) == mediaType(a.w.Header())
+func (p *proxyRequest) continuesStream(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && mediaType(resp.Header) == mediaType(p.w.Header())
 }
 
 // mediaType returns the media type of a body without its parameters, "" if none is stated.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/options"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/poison"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/quota"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/reach"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/retry"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/topic"
@@ -124,10 +125,12 @@
 	forward  *forward.Handler
 	inFlight *inflight.Tracker
 	pool     *upconn.Pool
-	quota    *quota.Limiter
-	cold     *cold.Limiter
-	retry    *retry.Budget
-	poison   *poison.Table
+	// reach knows whether this host is cut off from all upstreams.
+	reach  *reach.Monitor
+	quota  *quota.Limiter
+	cold   *cold.Limiter
+	retry  *retry.Budget
+	poison *poison.Table
 	// advisories holds what upstreams say in their responses.
 	advisories *advisory.Table
 	// observed holds what all hosts observe of engines, and observedView is the view whose
@@ -181,14 +184,15 @@
 	g.source.Store(&relay.Source{})
 	changed := make(chan struct{})
 	g.sourceChanged.Store(&changed)
-	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, g)
+	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, announcer{g})
 	g.inFlight = inflight.NewTracker(g.remoteTokens)
 	g.observed = observation.NewRecorder(g.peerAddress)
 	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit, epochRose: g.reportEpoch}
+	g.reach = reach.NewMonitor(upconn.Probe, g.upstreams, g.reachChanged)
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
 		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Observed: g.observed, Usage: g.usage, Events: events,
-		VersionShares: g, Host: o.Host, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
+		Reach: g.reach, VersionShares: g, Host: o.Host, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
 	})
 	g.duties = duty.NewDriver(duty.Deps{
 		Host: o.Host, Strength: o.Strength, Incarnation: g.incarnation, Log: ports.Feed, Cloud: ports.Cloud, Snapshots: g.loop,
@@ -223,6 +227,7 @@
 	go g.readLog(ctx, "log: operators", g.readOperator)
 	go g.readLog(ctx, "log: upstreams", g.readUpstreams)
 	go g.follow(ctx)
+	go g.reach.Run(ctx)
 	go g.discoverPeers(ctx)
 	go g.receiveDigests(ctx, socket)
 	go g.sendDigests(ctx, socket)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -104,7 +104,7 @@
 		g.newServer(callersName, g.options.Listen.Callers, g.forward),
 		g.newServer("readiness", g.options.Listen.Readiness, g.ports.ReadyHandler(g.ready)),
 		g.newServer("directory", g.options.Listen.Directory, g.ports.DirectoryHandler(g)),
-		g.newServer("peers", g.peerAddress, relay.Handler(g.updates.copy, g.hosts)),
+		g.newServer("peers", g.peerAddress, g.forward.PeerHandler(relay.Handler(g.updates.copy, g.hosts))),
 	}
 	g.servers = needed
 	if g.options.MetricsPort > 0 {
--- a/internal/gateway/members/compat_test.go
+++ b/internal/gateway/members/compat_test.go
@@ -46,6 +46,7 @@
 	require.NoError(t, err)
 	want := fullDigest()
 	want.Extension.Leaving = []advisory.Instance{1<<63 + 31, 32}
+	want.Extension.TakesForwarded, want.Extension.Isolated = true, true
 	data, err := members.Encode(&want)
 	require.NoError(t, err)
 	require.Equal(t, former, data[:len(former)])
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -123,10 +123,15 @@
 	Paces []Pace `msgpack:"paces,omitempty"`
 	// Observed are recent observations of the host.
 	Observed *Observations `msgpack:"observed,omitempty"`
+	// TakesForwarded is set when the host takes requests that its peers forward to it, and
+	// Isolated when it reaches no upstream itself.
+	TakesForwarded bool `msgpack:"takes,omitempty"`
+	Isolated       bool `msgpack:"isolated,omitempty"`
 }
 
 func (e Extension) empty() bool {
-	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil
+	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil &&
+		!e.TakesForwarded && !e.Isolated
 }
 
 // paces returns the paces of versions as they are sent.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,7 +64,7 @@
 	// Until the process ends there is no time for further requests.
 	limits.StreamsUntil, limits.OthersUntil = 0, 0
 	g.forward.Stop(limits)
-	for boottime.Now() < end && g.answering() {
+	for boottime.Now() < end && (g.answering() || g.forward.Active() > 0) {
 		time.Sleep(activeCheckInterval)
 	}
 	g.forward.End()
@@ -146,6 +146,7 @@
 	Answered, Refused, Cut, Left, Stray int64
 	Held, PoisonTrials, Active          int64
 	LeavingUpstreams, UpstreamPauses    int64
+	Isolated, ForwardedToPeers          int64
 	Dials                               uint64
 	LogLinesDropped, LogLinesSampled    int64
 	ConfigVersion                       int64
@@ -179,8 +180,8 @@
 		LeavingUpstreams: g.stats.LeavingUpstreams.Load(), UpstreamPauses: g.stats.UpstreamPauses.Load(), Dials: g.pool.Dials(),
 		LogLinesDropped: g.sink.Dropped(), LogLinesSampled: g.sink.Sampled(),
 		ConfigAgeMs: (now - s.View.ConfirmedAt).Milliseconds(), ListAgeMs: (now - s.View.ListedAt).Milliseconds(),
-		LogEpoch: g.updates.epoch.Load(),
-		Peers:    len(s.Peers), Holders: s.SenderCount, DutyToken: token,
+		LogEpoch: g.updates.epoch.Load(), Isolated: gauge(g.reach.Isolated()), ForwardedToPeers: g.stats.ForwardedToPeers.Load(),
+		Peers: len(s.Peers), Holders: s.SenderCount, DutyToken: token,
 		HeapBytes: memory.HeapAlloc, ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(),
 		Connections: map[string]int{}, ClosedIdle: g.gate.ClosedIdle(), RefusedHeads: g.gate.RefusedHeads(), LatencyMs: g.stats.LatencyQuantiles(),
 	}
@@ -194,6 +195,14 @@
 	return m
 }
 
+// gauge returns 1 for true, else 0.
+func gauge(on bool) int64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // residentBytes returns the memory of the process as the kernel counts it, 0 where the
 // kernel does not say.
 func residentBytes() uint64 {
