gateway: a first start behind no drill serves although the duties were claimed first

What callers would see: in a first start of a deployment whose log begins in an epoch above 0, all keys are refused until operators write the configuration again, if the part of the log with the configuration answers later than that with the ledger.

Cause: the first holder of the duties writes a ledger before its host has looked for one. No host has the proof, so the ledger tells no version, and it no longer shows that the deployment starts for the first time.

Fix: what the duties read before their first claim counts. No call is added.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,8 @@
 	// updates applies what this host read from the log or through a reader, a
 	// peer that reads the log for others.
 	updates *updateApplier
+	// ledger is the log as the duties see it.
+	ledger *ledgerWatch
 	// listed holds the hosts that were found last in the list of all hosts, nil before.
 	listed atomic.Pointer[[]members.ListedHost]
 	// source is where this host reads the log: directly or through a reader.
@@ -191,8 +193,9 @@
 		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Observed: g.observed, Usage: g.usage, Events: events,
 		VersionShares: g, Host: o.Host, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
 	})
+	g.ledger = &ledgerWatch{Keyed: ports.Feed}
 	g.duties = duty.NewDriver(duty.Deps{
-		Host: o.Host, Strength: o.Strength, Incarnation: g.incarnation, Log: ports.Feed, Cloud: ports.Cloud, Snapshots: g.loop,
+		Host: o.Host, Strength: o.Strength, Incarnation: g.incarnation, Log: g.ledger, Cloud: ports.Cloud, Snapshots: g.loop,
 		Usage: g.usage, Planner: capacity.NewPlanner(g.inFlight), Stats: g.inFlight, RolloutReporter: ports.Feed, Events: events, Lease: o.DutyLease.D(),
 		ProvenVersion: g.provenVersion,
 	})
--- a/internal/gateway/prove.go
+++ b/internal/gateway/prove.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +20,23 @@
 // proofInterval is the pause between two calls for the proof of the configuration.
 const proofInterval = time.Second
 
+// ledgerWatch passes the calls of the duties on to the log, and notes where that had no ledger:
+// the first holder writes one, perhaps before its host has read the configuration.
+type ledgerWatch struct {
+	topic.Keyed
+	// absentIn is the latest epoch in which there was no ledger.
+	absentIn atomic.Int64
+}
+
+// Newest implements topic.Keyed.
+func (w *ledgerWatch) Newest(ctx context.Context, name string) ([]topic.Entry, topic.Position, error) {
+	entries, end, err := w.Keyed.Newest(ctx, name)
+	if err == nil && len(entries) == 0 {
+		w.absentIn.Store(end.Epoch)
+	}
+	return entries, end, err
+}
+
 // proofSeeker looks for the proof of the configuration while this host lacks it.
 type proofSeeker struct {
 	g      *Gateway
@@ -49,6 +67,9 @@
 		s.g.updates.prove(ctx, proof.Peer, state.Epoch, peer.Extension.ProvenVersion)
 		return
 	}
+	if s.g.ledger.absentIn.Load() == state.Epoch {
+		s.g.updates.prove(ctx, proof.FirstStart, state.Epoch, 0)
+	}
 	if now < s.nextCallAt {
 		return
 	}
