gateway: the proof of the configuration outlives the hosts that had it

Cause: the proof was in the memory of hosts, and in the ledger only once one of them had claimed the duties in the new epoch, which takes its lease and more.

Fix: each host that has the proof in a later epoch records it in the log at once, spread over the fleet; one that starts reads that record too. In epoch 0 there is no further call.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,7 +190,7 @@
 	g.loop = control.NewLoop(o.Host, members.Self{Address: g.peerAddress, Zone: o.AvailabilityZone, Strength: o.Strength}, announcer{g})
 	g.inFlight = inflight.NewTracker(g.remoteTokens)
 	g.observed = observation.NewRecorder(g.peerAddress)
-	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit, epochRose: g.reportEpoch}
+	g.updates = &updateApplier{copy: relay.NewCache(), submit: g.loop.Submit, epochRose: g.reportEpoch, proofChanged: g.reportProof, highestVersion: g.highestVersion}
 	g.reach = reach.NewMonitor(upconn.Probe, g.upstreams, g.reachChanged)
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
@@ -232,6 +232,7 @@
 	go g.readLog(ctx, "log: operators", g.readOperator)
 	go g.readLog(ctx, "log: upstreams", g.readUpstreams)
 	go g.follow(ctx)
+	go g.seekProof(ctx)
 	go g.reach.Run(ctx)
 	go g.discoverPeers(ctx)
 	go g.receiveDigests(ctx, socket)
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -123,6 +123,10 @@
 	Paces []Pace `msgpack:"paces,omitempty"`
 	// Observed are recent observations of the host.
 	Observed *Observations `msgpack:"observed,omitempty"`
+	// ProvenVersion is the version of the configuration that the host last knew to be the
+	// newest, and ProvenEpoch the epoch of the log in which it did.
+	ProvenEpoch   int64 `msgpack:"provenEpoch,omitempty"`
+	ProvenVersion int64 `msgpack:"proven,omitempty"`
 	// TakesForwarded is set when the host takes requests that its peers forward to it, and
 	// Isolated when it reaches no upstream itself.
 	TakesForwarded bool `msgpack:"takes,omitempty"`
@@ -131,7 +135,7 @@
 
 func (e Extension) empty() bool {
 	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil &&
-		!e.TakesForwarded && !e.Isolated
+		e.ProvenVersion == 0 && !e.TakesForwarded && !e.Isolated
 }
 
 // paces returns the paces of versions as they are sent.
--- a/internal/gateway/proof/proof.go
+++ b/internal/gateway/proof/proof.go
@@ -26,6 +26,8 @@
 	Peer Basis = "peer"
 	// Ledger: the ledger of the duties has no higher version.
 	Ledger Basis = "ledger"
+	// Recorded: a host recorded a version in the log that is not higher.
+	Recorded Basis = "record"
 	// FirstStart: the log has no ledger, so there was no earlier configuration.
 	FirstStart Basis = "first start"
 )
--- a/internal/gateway/prove.go
+++ b/internal/gateway/prove.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -37,18 +38,36 @@
 	return entries, end, err
 }
 
-// proofSeeker looks for the proof of the configuration while this host lacks it.
+// Where hosts record in the log that a version of the configuration was the newest in an epoch.
+const (
+	proofTopic = "keyed.proof"
+	proofKey   = "configuration"
+)
+
+// proofRecord is the value of proofKey.
+type proofRecord struct {
+	Epoch   int64 `json:"epoch"`
+	Version int64 `json:"version"`
+}
+
+// proofSeeker looks for the proof of the configuration while this host lacks it, and records
+// it in the log for hosts that start later.
 type proofSeeker struct {
 	g      *Gateway
 	client *relay.Client
-	ledger *dependency
+	log    *dependency
 	// nextCallAt is the boot time from which it may call a peer or the log again.
 	nextCallAt time.Duration
+	// recordAt is the boot time from which the proof of recordEpoch is to be recorded, and
+	// recorded is set once it is.
+	recordAt    time.Duration
+	recordEpoch int64
+	recorded    bool
 }
 
 // seekProof looks for the proof until the context ends.
 func (g *Gateway) seekProof(ctx context.Context) {
-	seeker := &proofSeeker{g: g, client: relay.NewClient(), ledger: &dependency{g: g, name: "log: proof"}}
+	seeker := &proofSeeker{g: g, client: relay.NewClient(), log: &dependency{g: g, name: "log: proof"}}
 	for ctx.Err() == nil {
 		seeker.step(ctx, boottime.Now())
 		sleep(ctx, roleCheckInterval)
@@ -56,10 +75,11 @@
 }
 
 // step compares the configuration with those of the peers that have the proof. If that is not
-// enough, it reads a newer configuration from such a peer, or the ledger of the duties.
+// enough, it reads a newer configuration from such a peer, or what the log tells of the proof.
 func (s *proofSeeker) step(ctx context.Context, now time.Duration) {
 	state := s.g.updates.currentProof()
 	if !state.Missing() && !state.Behind {
+		s.record(ctx, state, now)
 		return
 	}
 	peer := s.g.provenPeer(state.Epoch)
@@ -79,6 +99,55 @@
 		s.readFrom(ctx, peer)
 	case state.Missing() && s.g.source.Load().ReadsLog:
 		s.readLedger(ctx, state.Epoch)
+		s.readRecord(ctx, state.Epoch)
+	}
+}
+
+// record writes the proof to the log, once in each epoch that a copy began.
+//
+// Scenario: the hosts that have the proof are restarted one after the other, before one of them
+// has claimed the duties. No host would have it any more, and all would refuse keys until
+// operators write again.
+func (s *proofSeeker) record(ctx context.Context, state proof.State, now time.Duration) {
+	if state.Epoch == 0 || state.ProvenEpoch != state.Epoch {
+		return
+	}
+	if s.recordEpoch != state.Epoch {
+		s.recordEpoch, s.recorded = state.Epoch, state.Basis == proof.Recorded
+		s.recordAt = now + rand.N(max(rewriteSpread(len(s.g.loop.Snapshot().Peers)+1), 1))
+	}
+	if s.recorded || now < s.recordAt {
+		return
+	}
+	s.recordAt = now + proofInterval
+	data, err := json.Marshal(proofRecord{Epoch: state.ProvenEpoch, Version: state.ProvenVersion})
+	if err == nil {
+		_, err = s.g.ports.Feed.Put(ctx, proofTopic, proofKey, data, topic.Anywhere)
+	}
+	if err != nil {
+		s.log.failed(err)
+		return
+	}
+	s.log.succeeded()
+	s.recorded = true
+}
+
+// readRecord takes the proof from what a host recorded in the same epoch.
+func (s *proofSeeker) readRecord(ctx context.Context, epoch int64) {
+	entries, _, err := s.g.ports.Feed.Newest(ctx, proofTopic)
+	if err != nil {
+		s.log.failed(err)
+		return
+	}
+	for _, entry := range entries {
+		var record proofRecord
+		if err := json.Unmarshal(entry.Value, &record); err != nil {
+			s.g.events.Emit(eventUndecodable, event.Err(err))
+			continue
+		}
+		if entry.Key == proofKey && record.Epoch == epoch && record.Version > 0 {
+			s.g.updates.prove(ctx, proof.Recorded, epoch, record.Version)
+		}
 	}
 }
 
@@ -115,10 +184,10 @@
 func (s *proofSeeker) readLedger(ctx context.Context, epoch int64) {
 	version, ledgerEpoch, known, err := duty.ProvenVersion(ctx, s.g.ports.Feed)
 	if err != nil {
-		s.ledger.failed(err)
+		s.log.failed(err)
 		return
 	}
-	s.ledger.succeeded()
+	s.log.succeeded()
 	if ledgerEpoch != epoch {
 		return
 	}
