forward: a request runs no more often than its route allows, whatever hosts it passes

Cause: each host on a request's way counted its own runs only: a host that forwards, after a run of its own, and the peer that got the request.

Fix: a forwarded request runs once at its peer; the host that forwarded it counts its runs and decides on further ones.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -296,7 +296,7 @@
 // mayRunElsewhere reports whether the request may be sent to another upstream
 // although it may run at this one.
 func (a *attempt) mayRunElsewhere() bool {
-	return a.repeatable() && a.runs+1 < a.route.MaxAttempts && a.attempts < maxUpstreams
+	return a.repeatable() && a.runs+1 < a.maxRuns() && a.attempts < maxUpstreams
 }
 
 // handleResponse relays a stream, or buffers a response and sends it to the
--- a/internal/gateway/forward/viapeer.go
+++ b/internal/gateway/forward/viapeer.go
@@ -159,7 +159,16 @@
 }
 
 // mayRunAgain reports whether a request that may have run may be sent again.
-func (p *proxyRequest) mayRunAgain() bool { return p.repeatable() && p.runs < p.route.MaxAttempts }
+func (p *proxyRequest) mayRunAgain() bool { return p.repeatable() && p.runs < p.maxRuns() }
+
+// maxRuns returns the number of upstreams that may run the request. One that was forwarded to
+// this host runs once: the host that forwarded it counts its runs.
+func (p *proxyRequest) maxRuns() int {
+	if p.forwardedBy != "" {
+		return 1
+	}
+	return p.route.MaxAttempts
+}
 
 // usablePeers returns the peers that can take the request.
 func (p *proxyRequest) usablePeers() []*members.Peer {
