forward: a peer's refusal behind an attempt that may have run promises nothing

Cause: a peer's 429 was handed on as it was. It speaks for that peer only; an attempt before it, at an upstream or another peer, may have run.

Evidence: TestRefusalBehindALostPeerPromisesNothing saw such a 429 before, and holds.

Fix: behind an attempt that may have run, a peer's refusal is not handed on; the caller gets 502 as it does without peers.

--- a/internal/gateway/forward/viapeer.go
+++ b/internal/gateway/forward/viapeer.go
@@ -295,7 +295,7 @@
 		return false, lostOutcome(err)
 	}
 	answer := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode == http.StatusServiceUnavailable {
+	if resp.StatusCode == http.StatusServiceUnavailable || f.runs > 0 && promisesNotRun(resp.StatusCode) {
 		f.refusal = answer
 		return !resp.Close, outcome{disposition: notRun, reason: "refused by peer: " + resp.Status}
 	}
@@ -303,6 +303,16 @@
 	return !resp.Close, outcome{disposition: finished}
 }
 
+// promisesNotRun reports whether a status of a refusal promises that the request has not run,
+// which holds for the peer alone.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // relay sends a stream to the caller as it arrives. A stream that breaks off is broken off for
 // the caller too.
 func (f *peerForward) relay(resp *http.Response) (bool, outcome) {
