forward: a stream that a peer breaks off at its head is answered

Cause: the head of a peer's answer was prepared for the caller before anything of its body came, and with it no other answer could follow when the peer broke off.

Evidence: TestStreamThatAPeerBreaksOffAtItsHeadIsAnswered got an unexpected EOF before, and holds.

Fix: the head is sent with the first bytes. Before them the outcome is unknown, as with an upstream: the request goes on elsewhere if it may, or gets 502.

--- a/internal/gateway/forward/viapeer.go
+++ b/internal/gateway/forward/viapeer.go
@@ -313,20 +313,26 @@
 	return false
 }
 
+// sendHeader sends the head of a stream to the caller, once.
+func (f *peerForward) sendHeader(resp *http.Response) {
+	if f.headerSent {
+		return
+	}
+	f.h.Codec.CopyResponseHeader(f.w.Header(), resp.Header)
+	suppressDefaultHeaders(f.w.Header())
+	f.headerSent = true
+	f.writeHeader(resp.StatusCode)
+}
+
 // relay sends a stream to the caller as it arrives. A stream that breaks off is broken off for
-// the caller too.
+// the caller too; before its first byte it is as if the peer had not answered.
 func (f *peerForward) relay(resp *http.Response) (bool, outcome) {
-	if !f.headerSent {
-		f.h.Codec.CopyResponseHeader(f.w.Header(), resp.Header)
-		suppressDefaultHeaders(f.w.Header())
-		f.headerSent = true
-		f.writeHeader(resp.StatusCode)
-	}
 	controller := http.NewResponseController(f.w)
 	buf := make([]byte, eventBufferBytes)
 	for {
 		n, readErr := resp.Body.Read(buf)
 		if n > 0 {
+			f.sendHeader(resp)
 			if _, err := f.w.Write(buf[:n]); err != nil {
 				return false, outcome{disposition: callerGone, reason: err.Error()}
 			}
@@ -336,8 +342,11 @@
 		}
 		switch {
 		case errors.Is(readErr, io.EOF) && delimited(resp):
+			f.sendHeader(resp)
 			f.logForwarded(resp.StatusCode)
 			return !resp.Close, outcome{disposition: finished}
+		case readErr != nil && !f.headerSent:
+			return false, lostOutcome(readErr)
 		case readErr != nil:
 			f.conn.Abort()
 			f.abort("through peer: " + readErr.Error())
