gateway: a copy without a ledger is no first start

Cause: a log without a ledger passed for that of a deployment that starts for the first time, in which there is no earlier configuration.

Fix: the settings say whether the deployment starts for the first time (the platform's bootstrap); only then the missing ledger is a proof.

--- a/internal/gateway/options/options.go
+++ b/internal/gateway/options/options.go
@@ -41,6 +41,8 @@
 	// accepted.
 	RevokeKeysWithin jsonc.Duration `json:"revokeKeysWithin"`
 	UsageWindow      jsonc.Duration `json:"usageWindow"`
+	// FirstStart is set while the whole deployment starts for the first time.
+	FirstStart bool `json:"firstStart,omitempty"`
 	// DutyLease is the time in which holders of the duties must not alternate.
 	DutyLease   jsonc.Duration `json:"dutyLease"`
 	RetryBudget RetryBudget    `json:"retryBudget"`
--- a/internal/gateway/options/options_test.go
+++ b/internal/gateway/options/options_test.go
@@ -22,6 +22,7 @@
 	"parameters.retryBudgetRatio|json": "0.2", "parameters.retrySlack|json": "58", "parameters.budgetWindowS": "10",
 	"limits.memoryMb|json": "284", "limits.cpuShare|json": "0.4",
 	// A section is rendered if its value is present.
+	"#bootstrap": "", "/bootstrap": "",
 	"#parameters.quotaWindowS": "", "/parameters.quotaWindowS": "",
 	"parameters.quotaExcess|json": "0.1", "parameters.quotaSlack|json": "140000", "parameters.quotaWindowS": "8",
 }
@@ -51,6 +52,7 @@
 	require.Equal(t, 8*time.Second, o.GracePeriod.D())
 	require.InDelta(t, 58, o.RetryBudget.Slack, 0)
 	require.Equal(t, 7600, o.PeerPort)
+	require.True(t, o.FirstStart)
 	require.InDelta(t, 0.4, o.Strength, 0)
 	require.Equal(t, quota.Tolerance{Excess: 0.1, Slack: 140_000, Window: 8 * time.Second}, o.QuotaTolerance.Limits())
 }
--- a/internal/gateway/proof/proof.go
+++ b/internal/gateway/proof/proof.go
@@ -28,7 +28,8 @@
 	Ledger Basis = "ledger"
 	// Recorded: a host recorded a version in the log that is not higher.
 	Recorded Basis = "record"
-	// FirstStart: the log has no ledger, so there was no earlier configuration.
+	// FirstStart: the deployment starts for the first time and the log has no ledger, so there
+	// was no earlier configuration.
 	FirstStart Basis = "first start"
 )
 
--- a/internal/gateway/prove.go
+++ b/internal/gateway/prove.go
@@ -87,7 +87,7 @@
 		s.g.updates.prove(ctx, proof.Peer, state.Epoch, peer.Extension.ProvenVersion)
 		return
 	}
-	if s.g.ledger.absentIn.Load() == state.Epoch {
+	if s.g.options.FirstStart && s.g.ledger.absentIn.Load() == state.Epoch {
 		s.g.updates.prove(ctx, proof.FirstStart, state.Epoch, 0)
 	}
 	if now < s.nextCallAt {
@@ -179,8 +179,8 @@
 	s.g.updates.applyRelayed(ctx, resp, requestedAt)
 }
 
-// readLedger takes the proof from the ledger of the duties. A log without one is that of a
-// deployment that starts for the first time.
+// readLedger takes the proof from the ledger of the duties. In a first start there was no
+// configuration before if the log has no ledger; otherwise a copy may lack it.
 func (s *proofSeeker) readLedger(ctx context.Context, epoch int64) {
 	version, ledgerEpoch, known, err := duty.ProvenVersion(ctx, s.g.ports.Feed)
 	if err != nil {
@@ -192,7 +192,7 @@
 		return
 	}
 	switch {
-	case !known:
+	case !known && s.g.options.FirstStart:
 		s.g.updates.prove(ctx, proof.FirstStart, epoch, 0)
 	case version > 0:
 		s.g.updates.prove(ctx, proof.Ledger, epoch, version)
