reconcile: an upstream that the copy lacks is kept for less than two seconds

Cause: the hosts had not read the removal, the workers had written it again before the hosts listed, and a host can't tell that from a report that the copy lacks: it kept the worker for 4 s.

Evidence: TestUpstreamThatACopyLacksIsKeptForLessThanTwoSeconds; the former test asked for the 4 s, which came from the heartbeats.

Fix: kept for 1.3 s from the first listing on, as reports that lapse in an outage.

--- a/internal/gateway/reconcile/upstreams.go
+++ b/internal/gateway/reconcile/upstreams.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// keepUpstreams is how long an upstream is kept that the log lacks: one that is alive
-	// reports again within three heartbeats of 1.2 s.
-	keepUpstreams = 4 * time.Second
+	// keepUpstreams is how long an upstream is kept that the log lacks. One that is alive reports
+	// again within two seconds of the log's return, and one that is gone must get no requests
+	// from then on, including the pause between two reads.
+	keepUpstreams = 1300 * time.Millisecond
 	// settlePeriod is the time behind a drill in which older reports than the known ones may
 	// still be read, and for which removals are remembered. Copies are younger, and reports
 	// expire sooner.
--- a/internal/gateway/reconcile/upstreams_test.go
+++ b/internal/gateway/reconcile/upstreams_test.go
@@ -20,16 +20,19 @@
 	return catalog.UpstreamUpdate{Epoch: epoch, Whole: whole, Changes: changes}
 }
 
-func TestUpstreamThatACopyLacksIsKeptForSomeHeartbeats(t *testing.T) {
+// Guards against an upstream that was removed just before a drill and is used for seconds behind it.
+func TestUpstreamThatACopyLacksIsKeptForLessThanTwoSeconds(t *testing.T) {
 	var known reconcile.Upstreams
 	known.Apply(reports(0, true, report(3, false)), time.Second)
 	kept := report(3, false)
 	kept.Kept = true
 	require.Equal(t, []catalog.UpstreamChange{kept}, known.Apply(reports(1, true), 2*time.Second).Changes)
-	require.Equal(t, []catalog.UpstreamChange{kept}, known.Apply(reports(1, true), 5*time.Second).Changes)
-	require.Equal(t, []catalog.UpstreamChange{{ID: "u"}}, known.Apply(reports(1, false), 6*time.Second).Changes)
+	require.Equal(t, []catalog.UpstreamChange{kept}, known.Apply(reports(1, true), 3200*time.Millisecond).Changes)
+	require.Equal(t, []catalog.UpstreamChange{{ID: "u"}}, known.Apply(reports(1, false), 3300*time.Millisecond).Changes)
 }
 
+// Guards against an upstream that drains and is used again, since the copy is listed a second time and its
+// report there has the same number.
 func TestRemovedUpstreamIsListedAgainOnlyByANewerReport(t *testing.T) {
 	var known reconcile.Upstreams
 	known.Apply(reports(0, true, report(3, false)), time.Second)
