reconcile: a draining upstream is not used again by an equal report

Cause: the copy was listed a second time in its epoch, as the store had dropped its history. Its report of the worker, ready, had the same number as the draining one that the hosts knew, which counted as no older.

Evidence: TestDrainingUpstreamIsNotUsedAgainByAnEqualReport fails without the change, and holds.

Fix: a process that drains is used again only by a report that is newer.

--- a/internal/gateway/reconcile/upstreams.go
+++ b/internal/gateway/reconcile/upstreams.go
@@ -88,7 +88,8 @@
 	if known.removed && known.removedIn == u.Epoch {
 		return false
 	}
-	if u.Whole && (known.removed || u.Epoch > s.epoch) {
+	endsDrain := known.report.Draining && !report.Draining
+	if u.Whole && (known.removed || u.Epoch > s.epoch) || endsDrain {
 		return !report.NewerThan(known.report)
 	}
 	return known.report.NewerThan(report)
--- a/internal/gateway/reconcile/upstreams_test.go
+++ b/internal/gateway/reconcile/upstreams_test.go
@@ -33,6 +33,16 @@
 
 // Guards against an upstream that drains and is used again, since the copy is listed a second time and its
 // report there has the same number.
+func TestDrainingUpstreamIsNotUsedAgainByAnEqualReport(t *testing.T) {
+	var known reconcile.Upstreams
+	known.Apply(reports(0, true, report(3, true)), time.Second)
+	for at := 2 * time.Second; at < 5*time.Second; at += time.Second {
+		merged := known.Apply(reports(1, true, report(3, false)), at)
+		require.True(t, merged.Changes[0].Upstream.Draining)
+	}
+	require.False(t, known.Apply(reports(1, false, report(4, false)), 6*time.Second).Changes[0].Upstream.Draining)
+}
+
 func TestRemovedUpstreamIsListedAgainOnlyByANewerReport(t *testing.T) {
 	var known reconcile.Upstreams
 	known.Apply(reports(0, true, report(3, false)), time.Second)
