reconcile: an order that is given anew is taken, though the copy had the same

Cause: the order of the copy is passed over until its key is written again; that it had been was not noted.

Fix: any change of the key ends it.

--- a/internal/gateway/reconcile/operator.go
+++ b/internal/gateway/reconcile/operator.go
@@ -43,7 +43,7 @@
 	}
 	o.epoch = max(o.epoch, u.Epoch)
 	for _, change := range u.Changes {
-		o.record(change, requestedAt)
+		o.record(change, u.Whole, requestedAt)
 	}
 	u.Changes = append(u.Changes[:len(u.Changes):len(u.Changes)], o.drop(requestedAt)...)
 	return u
@@ -108,14 +108,14 @@
 	return catalog.OperatorChange{Zone: c.Zone, RolloutService: c.RolloutService, Removed: true}
 }
 
-// record records a change that is applied.
-func (o *Operator) record(change catalog.OperatorChange, requestedAt time.Duration) {
+// record records a change that is applied, from a whole update or not.
+func (o *Operator) record(change catalog.OperatorChange, whole bool, requestedAt time.Duration) {
 	if change.Document != nil {
 		return
 	}
 	known := o.orders[keyOf(change)]
 	next := order{change: change}
-	if sameOrder(known.change, change) {
+	if whole && sameOrder(known.change, change) {
 		next.outdated = known.outdated
 	}
 	if change.Kept {
--- a/internal/gateway/reconcile/operator_test.go
+++ b/internal/gateway/reconcile/operator_test.go
@@ -79,3 +79,14 @@
 		}
 	})
 }
+
+// Guards against a rollout that is never taken, since the copy once had the same order.
+func TestOrderOfTheCopyIsTakenWhenItIsOrderedAnew(t *testing.T) {
+	var known reconcile.Operator
+	known.Apply(listing(0, rolloutTo("v2")), time.Second)
+	known.Apply(listing(1, rolloutTo("v1")), 2*time.Second)
+	known.Apply(change(1, rolloutTo("v2")), 3*time.Second) // written again
+	// Operators order v1 anew; the host reads it in a listing.
+	merged := known.Apply(listing(1, rolloutTo("v1")), time.Minute)
+	require.Equal(t, []catalog.OperatorChange{rolloutTo("v1")}, merged.Changes)
+}
