reconcile: followers use no removed upstream behind a drill

Cause: heartbeats that differ in their number only are not passed on, so a follower took the copy's report, with a higher number than it knew, for a newer one.

Fix: a removed upstream is listed again by a listing only if its process is a newer one, else by a report that is read as a change.

--- a/internal/gateway/reconcile/upstreams.go
+++ b/internal/gateway/reconcile/upstreams.go
@@ -88,8 +88,12 @@
 	if known.removed && known.removedIn == u.Epoch {
 		return false
 	}
+	if u.Whole && known.removed {
+		// Followers of a reader don't know the number of the last report.
+		return report.Born <= known.report.Born
+	}
 	endsDrain := known.report.Draining && !report.Draining
-	if u.Whole && (known.removed || u.Epoch > s.epoch) || endsDrain {
+	if u.Whole && u.Epoch > s.epoch || endsDrain {
 		return !report.NewerThan(known.report)
 	}
 	return known.report.NewerThan(report)
