proof: a proof counts for the epoch and the version that it is of

Cause: a proof was handed on without what it is of. A former one was carried over for 30 s although keys are served for 4.5 s without a read; the holder of the duties wrote its version into a ledger of another epoch; a reader told the epoch of its proof only.

The bound in TestProofIsCarriedOverUnlessItIsOldOrAPeerTellsMore is the stricter one now.

Fix: a proof is carried over at once up to 4 s of age, and later only if no peer had one or told a higher version for 2 s; the holder tells the version of the ledger's epoch; readers tell the version of their proof, and none while they are behind. A host that is behind reads from the peer of the highest version.

--- a/internal/gateway/applier.go
+++ b/internal/gateway/applier.go
@@ -59,7 +59,7 @@
 // time.
 func (a *updateApplier) applyRelayed(ctx context.Context, resp relay.Response, requestedAt time.Duration) {
 	readAt := requestedAt - resp.OperatorAge + resp.OperatorLag
-	a.applyOperatorFrom(ctx, resp.Operator, readAt, proof.Source{ProvenEpoch: resp.ProvenEpoch})
+	a.applyOperatorFrom(ctx, resp.Operator, readAt, proof.Source{ProvenEpoch: resp.ProvenEpoch, ProvenVersion: resp.ProvenVersion})
 }
 
 func (a *updateApplier) applyOperatorFrom(ctx context.Context, update catalog.OperatorUpdate, requestedAt time.Duration, from proof.Source) {
@@ -80,6 +80,9 @@
 
 // confirmOperator passes an update on. a.mu must be held.
 func (a *updateApplier) confirmOperator(ctx context.Context, update catalog.OperatorUpdate, requestedAt time.Duration) {
+	if update.Epoch > 0 && !update.Unproven {
+		update.ProvenVersion = a.proof.ProvenVersion
+	}
 	if a.copy.ApplyOperator(update, requestedAt) {
 		a.submit(ctx, control.OperatorRead{Update: update, RequestedAt: requestedAt})
 	}
--- a/internal/gateway/applier_test.go
+++ b/internal/gateway/applier_test.go
@@ -99,3 +99,63 @@
 	require.True(t, last.Update.Unproven)
 	require.True(t, a.currentProof().Behind)
 }
+
+type applied struct {
+	*updateApplier
+	last    control.OperatorRead
+	highest int64
+}
+
+func newApplied() *applied {
+	a := &applied{}
+	a.updateApplier = &updateApplier{
+		copy: relay.NewCache(), submit: func(_ context.Context, input any) { a.last = input.(control.OperatorRead) },
+		epochRose: func(int64, int64) {}, proofChanged: func(proof.State) {}, highestVersion: func() int64 { return a.highest },
+	}
+	return a
+}
+
+func listed(version int64) catalog.OperatorUpdate {
+	return catalog.OperatorUpdate{Next: 5, Epoch: 1, Whole: true, Changes: []catalog.OperatorChange{{Document: &catalog.Document{Version: version}}}}
+}
+
+// Guards against a follower that gets the proof of a reader, and not the higher version that it is of, since
+// the reader took that from a peer at the same offset.
+func TestFollowerGetsTheVersionThatItsReaderTookFromAPeer(t *testing.T) {
+	peer, reader, follower := newApplied(), newApplied(), newApplied()
+	peer.applyOperator(t.Context(), listed(4), time.Minute)
+	reader.applyOperator(t.Context(), listed(3), time.Minute)
+	follower.applyRelayed(t.Context(), reader.copy.Respond(t.Context(), relay.Request{Operator: -1, Upstreams: -1}, time.Minute), time.Minute)
+	require.True(t, follower.currentProof().Missing())
+	peer.prove(t.Context(), proof.Ledger, 1, 4)
+	reader.applyRelayed(t.Context(), peer.copy.Respond(t.Context(), relay.Request{Operator: -1, Upstreams: -1}, time.Minute), time.Minute)
+	require.EqualValues(t, 4, reader.currentProof().ProvenVersion)
+	resp := reader.copy.Respond(t.Context(), relay.Request{Operator: 5, OperatorEpoch: 1, Upstreams: -1}, time.Minute)
+	follower.applyRelayed(t.Context(), resp, time.Minute)
+	require.True(t, follower.last.Update.Unproven || follower.currentProof().Version == 4, "version %d is confirmed", follower.currentProof().Version)
+}
+
+// Guards against a follower that goes by the proof of a reader which knows that it is behind.
+func TestReaderThatKnowsThatItIsBehindConfirmsNothing(t *testing.T) {
+	reader, follower := newApplied(), newApplied()
+	old := listed(3)
+	old.Epoch, old.Next = 0, 9
+	reader.applyOperator(t.Context(), old, time.Minute)
+	reader.applyOperator(t.Context(), listed(3), time.Minute+time.Second)
+	reader.highest = 4
+	reader.applyOperator(t.Context(), catalog.OperatorUpdate{Next: 5, Epoch: 1}, time.Minute+20*time.Second)
+	require.True(t, reader.last.Update.Unproven)
+	resp := reader.copy.Respond(t.Context(), relay.Request{Operator: -1, Upstreams: -1}, time.Minute+20*time.Second)
+	follower.applyRelayed(t.Context(), resp, time.Hour)
+	require.True(t, follower.last.Update.Unproven, "confirmed as of %v", follower.last.RequestedAt)
+}
+
+// Guards against a ledger that tells in an epoch which version its holder knew in an earlier one.
+func TestHolderTellsNoVersionOfAnEarlierEpoch(t *testing.T) {
+	a := newApplied()
+	a.applyOperator(t.Context(), listed(4), time.Minute)
+	a.prove(t.Context(), proof.Recorded, 1, 4)
+	g := &Gateway{updates: a.updateApplier}
+	require.EqualValues(t, 4, g.provenVersion(1))
+	require.Zero(t, g.provenVersion(2))
+}
--- a/internal/gateway/catalog/catalog.go
+++ b/internal/gateway/catalog/catalog.go
@@ -199,6 +199,9 @@
 	// Unproven is set while the changes may be older than acknowledged ones, see package
 	// proof. It is decided by each host.
 	Unproven bool `msgpack:"-"`
+	// ProvenVersion is the version of the configuration that the update confirms behind a log
+	// that came back from a copy.
+	ProvenVersion int64 `msgpack:"-"`
 }
 
 // Position returns the position to read from next.
--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -114,8 +114,8 @@
 	// not reported.
 	RolloutReporter RolloutReporter
 	// ProvenVersion returns the newest configuration version that this host knows to be in
-	// force, or 0; nil means that it knows none.
-	ProvenVersion func() int64
+	// force in an epoch of the log, or 0; nil means that it knows none.
+	ProvenVersion func(epoch int64) int64
 	Events        *event.Logger
 	// Lease is the time in which two hosts must not alternate as holders.
 	Lease time.Duration
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -127,7 +127,7 @@
 		h.skew = sim.hosts[i].skew
 	}
 	h.driver = duty.NewDriver(duty.Deps{
-		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage, Planner: h, ProvenVersion: func() int64 { return h.proven },
+		Host: h.name, Incarnation: h.incarnation, Log: h, Cloud: h, Snapshots: h, Usage: h.usage, Planner: h, ProvenVersion: func(int64) int64 { return h.proven },
 		Stats: h, RolloutReporter: h,
 		Events: event.Discard(), Lease: lease, Clock: h,
 	})
--- a/internal/gateway/duty/store.go
+++ b/internal/gateway/duty/store.go
@@ -53,7 +53,7 @@
 func (d *Driver) writeLedger(ctx context.Context, next Ledger) bool {
 	requestedAt := d.Clock.Now()
 	if d.ProvenVersion != nil {
-		next.ConfigVersion = max(next.ConfigVersion, d.ProvenVersion())
+		next.ConfigVersion = max(next.ConfigVersion, d.ProvenVersion(d.end.Epoch))
 	}
 	next.WriteID = rand.Uint64() >> 12 // 52 bits, which JSON readers can hold exactly
 	data, err := next.Encode()
--- a/internal/gateway/proof/proof.go
+++ b/internal/gateway/proof/proof.go
@@ -9,8 +9,17 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 )
 
-// maxCarriedAge is the age of a proof above which it is not carried over to a later epoch.
-const maxCarriedAge = 30 * time.Second
+// How long a proof is carried over to a later epoch.
+const (
+	// maxCarriedAge is the age of a proof up to which it is carried over at once: a host whose
+	// proof is older may no longer serve keys.
+	maxCarriedAge = 4 * time.Second
+	// maxLateAge is the age up to which it is carried over if no peer has had the proof, nor a
+	// higher version, for peersWait.
+	maxLateAge = 30 * time.Second
+	// peersWait is the time in which the digests of all live peers arrive.
+	peersWait = 2 * time.Second
+)
 
 // Basis says what a proof rests on.
 type Basis string
@@ -37,8 +46,9 @@
 type Source struct {
 	// Log is set when it was read from the log directly.
 	Log bool
-	// ProvenEpoch is the latest epoch in which the peer had the proof that it was read from.
-	ProvenEpoch int64
+	// ProvenEpoch is the epoch in which the peer that it was read from has the proof, and
+	// ProvenVersion the version that it has the proof of.
+	ProvenEpoch, ProvenVersion int64
 	// HighestVersion is the highest version that any peer tells.
 	HighestVersion int64
 }
@@ -54,6 +64,15 @@
 	ProvenEpoch, ProvenVersion int64
 	// Behind is set while a peer tells a higher version.
 	Behind bool
+	// carriesLateAt is the boot time from which a former proof is carried over although it was
+	// old, 0 if there is none.
+	carriesLateAt time.Duration
+}
+
+// CarriesLate reports whether a former proof is carried over although it was old, as no peer
+// has one.
+func (s State) CarriesLate(now time.Duration) bool {
+	return s.Missing() && s.carriesLateAt > 0 && now >= s.carriesLateAt
 }
 
 // Missing reports whether the host lacks the proof in the epoch that it read last.
@@ -80,7 +99,7 @@
 	case t.Basis != None:
 	case from.Log && !u.Whole && written:
 		t.Basis = Written
-	case from.ProvenEpoch == u.Epoch:
+	case from.ProvenEpoch == u.Epoch && from.ProvenVersion <= t.Version:
 		t.Basis = Peer
 	}
 	t.Behind = u.Epoch > 0 && from.HighestVersion > t.Version
@@ -93,10 +112,14 @@
 
 // enter begins an epoch: a proof of the former one is carried over unless it is old.
 func (t *Tracker) enter(epoch int64, requestedAt time.Duration) {
-	carried := t.read && t.Basis != None && t.ProvenVersion > 0 && requestedAt-t.provenAt <= maxCarriedAge
-	t.Epoch, t.read, t.Basis = epoch, true, None
-	if epoch == 0 || carried {
+	had := t.read && t.Basis != None && t.ProvenVersion > 0
+	age := requestedAt - t.provenAt
+	t.Epoch, t.read, t.Basis, t.carriesLateAt = epoch, true, None, 0
+	switch {
+	case epoch == 0 || had && age <= maxCarriedAge:
 		t.Basis = CarriedOver
+	case had && age <= maxLateAge:
+		t.carriesLateAt = requestedAt + peersWait
 	}
 }
 
--- a/internal/gateway/proof/proof_test.go
+++ b/internal/gateway/proof/proof_test.go
@@ -35,7 +35,7 @@
 		after  time.Duration
 		peers  int64
 		proven bool
-	}{{30 * time.Second, 5, true}, {31 * time.Second, 5, false}, {time.Second, 6, false}} {
+	}{{4 * time.Second, 5, true}, {5 * time.Second, 5, false}, {time.Second, 6, false}} {
 		var tracker proof.Tracker
 		require.True(t, tracker.Read(read(0, true, 5), time.Second, fromLog))
 		from := fromLog
@@ -44,6 +44,22 @@
 	}
 }
 
+// Guards against a host that was cut off for longer than it may serve keys, and serves them again by its old
+// proof before it has asked its peers.
+func TestOldProofIsCarriedOverOnlyOncePeersHadTheTimeToTell(t *testing.T) {
+	for _, test := range []struct {
+		after   time.Duration
+		carries bool
+	}{{5 * time.Second, true}, {30 * time.Second, true}, {31 * time.Second, false}} {
+		var tracker proof.Tracker
+		tracker.Read(read(0, true, 5), time.Second, fromLog)
+		at := time.Second + test.after
+		require.False(t, tracker.Read(read(1, true, 4), at, fromLog))
+		require.False(t, tracker.CarriesLate(at+1900*time.Millisecond))
+		require.Equal(t, test.carries, tracker.CarriesLate(at+2*time.Second))
+	}
+}
+
 func TestNothingReadIsNotCarriedOver(t *testing.T) {
 	var tracker proof.Tracker
 	tracker.Read(read(0, true), time.Second, fromLog)
--- a/internal/gateway/prove.go
+++ b/internal/gateway/prove.go
@@ -90,6 +90,9 @@
 	if s.g.options.FirstStart && s.g.ledger.absentIn.Load() == state.Epoch {
 		s.g.updates.prove(ctx, proof.FirstStart, state.Epoch, 0)
 	}
+	if peer == nil && state.CarriesLate(now) {
+		s.g.updates.prove(ctx, proof.CarriedOver, state.Epoch, state.ProvenVersion)
+	}
 	if now < s.nextCallAt {
 		return
 	}
@@ -151,18 +154,19 @@
 	}
 }
 
-// provenPeer returns one of the peers that have the proof in an epoch, nil if there is none.
+// provenPeer returns the peer of the highest version among those that have the proof in an
+// epoch, nil if there is none.
 func (g *Gateway) provenPeer(epoch int64) *members.Peer {
-	var proven []*members.Peer
+	var proven *members.Peer
 	for _, p := range g.loop.Snapshot().Peers {
-		if p.Extension.ProvenEpoch == epoch && !p.Stopping {
-			proven = append(proven, p)
+		if p.Extension.ProvenEpoch != epoch || p.Stopping {
+			continue
+		}
+		if proven == nil || p.Extension.ProvenVersion > proven.Extension.ProvenVersion {
+			proven = p
 		}
 	}
-	if len(proven) == 0 {
-		return nil
-	}
-	return proven[rand.IntN(len(proven))]
+	return proven
 }
 
 // readFrom reads the configuration from a peer that has the proof.
@@ -226,11 +230,11 @@
 	return state.ProvenEpoch, state.ProvenVersion
 }
 
-// provenVersion returns the version that the ledger of the duties is to tell, 0 while this host
-// lacks the proof and where peers need none.
-func (g *Gateway) provenVersion() int64 {
+// provenVersion returns the version that the ledger of the duties is to tell in an epoch, 0 while
+// this host lacks the proof in it and where peers need none.
+func (g *Gateway) provenVersion(epoch int64) int64 {
 	state := g.updates.currentProof()
-	if state.Epoch == 0 || state.ProvenEpoch != state.Epoch {
+	if state.Epoch == 0 || state.ProvenEpoch != epoch || state.Missing() || state.Behind {
 		return 0
 	}
 	return state.ProvenVersion
--- a/internal/gateway/relay/relay.go
+++ b/internal/gateway/relay/relay.go
@@ -47,6 +47,8 @@
 	// ProvenEpoch is the latest epoch of the log in which the reader could tell that its
 	// configuration is the newest.
 	ProvenEpoch int64 `msgpack:",omitempty"`
+	// ProvenVersion is the version of that configuration.
+	ProvenVersion int64 `msgpack:",omitempty"`
 }
 
 // cachedTopic is what a host last read of one topic.
@@ -55,8 +57,9 @@
 	// confirmedAt is the boot time at which the request was sent whose response
 	// last confirmed the table, and readAt is that of the last response at all.
 	confirmedAt, readAt time.Duration
-	// provenEpoch is the latest epoch in which the table was confirmed.
-	provenEpoch int64
+	// provenEpoch is the epoch of the last update if that confirmed the table, else 0, and
+	// provenVersion the version that it confirmed.
+	provenEpoch, provenVersion int64
 }
 
 // applyUpdate applies the response to a request that was sent at a boot time. It
@@ -66,9 +69,10 @@
 		return false, false
 	}
 	t.readAt = max(t.readAt, requestedAt)
+	t.provenEpoch, t.provenVersion = 0, 0
 	if !u.Unproven {
 		t.confirmedAt = max(t.confirmedAt, requestedAt)
-		t.provenEpoch = u.Epoch
+		t.provenEpoch, t.provenVersion = u.Epoch, u.ProvenVersion
 	}
 	return true, t.table.apply(u)
 }
@@ -170,6 +174,6 @@
 		Operator:    c.operator.table.updateSince(r.operator()),
 		Upstreams:   c.upstreams.table.updateSince(r.upstreams()),
 		OperatorAge: receivedAt - c.operator.confirmedAt, UpstreamsAge: receivedAt - c.upstreams.confirmedAt,
-		OperatorLag: c.operator.readAt - c.operator.confirmedAt, ProvenEpoch: c.operator.provenEpoch,
+		OperatorLag: c.operator.readAt - c.operator.confirmedAt, ProvenEpoch: c.operator.provenEpoch, ProvenVersion: c.operator.provenVersion,
 	}
 }
