forward: a run at a peer that fails to resume a stream counts

Cause: a peer that answers a failure, behind a first part of the stream, may have run the request; that was not counted, and the next peer got it too.

Fix: a failure of the peer counts as a run, as a lost connection does.

--- a/internal/gateway/forward/viapeer.go
+++ b/internal/gateway/forward/viapeer.go
@@ -131,14 +131,14 @@
 			return true
 		case notRun:
 			refusal = f.refusal
-		case unknown:
+		case unknown, failed:
 			p.runs++
 			p.retryReserved = false
 			if !p.mayRunAgain() {
 				p.giveUp(result.reason)
 				return true
 			}
-		case notSent, failed:
+		case notSent:
 		}
 	}
 	if refusal == nil || p.runs > 0 {
