forward: a request is not sent by way of a peer to upstreams that want none

Cause: a request that found two upstreams out of reach, and the others pausing, went through a peer.

Fix: with an upstream that pauses the host refuses with its Retry-After, as it does without peers. An isolated host still forwards.

--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -64,9 +64,10 @@
 // peer is asked to serve it, before it is known whether this host is isolated.
 const minUnreached = 2
 
-// giveUpUnlessServedByPeer ends a request that this host can't send to any upstream.
+// giveUpUnlessServedByPeer ends a request that this host can't send to any upstream. One that an
+// upstream turned away for a while is not sent to it by way of a peer.
 func (p *proxyRequest) giveUpUnlessServedByPeer(reason string) {
-	if p.unreached >= minUnreached && p.r.Context().Err() == nil && p.serveByPeer() {
+	if p.unreached >= minUnreached && p.upstreamPause == 0 && p.r.Context().Err() == nil && p.serveByPeer() {
 		return
 	}
 	p.giveUp(reason)
