reconcile: a drain that nobody had read counts by an equal report

Cause: hosts that first read the drain in the listing of a later epoch passed it over, as its number was no higher than that of the report that they knew.

Evidence: TestDrainThatNobodyHadReadCountsByAnEqualReport fails without the change, and holds.

Fix: between equal numbers the drain counts, whichever side it is on.

--- a/internal/gateway/reconcile/upstreams.go
+++ b/internal/gateway/reconcile/upstreams.go
@@ -92,6 +92,9 @@
 		// Followers of a reader don't know the number of the last report.
 		return report.Born <= known.report.Born
 	}
+	if report.Draining && !known.report.Draining {
+		return known.report.NewerThan(report)
+	}
 	endsDrain := known.report.Draining && !report.Draining
 	if u.Whole && u.Epoch > s.epoch || endsDrain {
 		return !report.NewerThan(known.report)
--- a/internal/gateway/reconcile/upstreams_test.go
+++ b/internal/gateway/reconcile/upstreams_test.go
@@ -52,6 +52,14 @@
 	require.Len(t, known.Apply(reports(1, false, report(4, false)), 5*time.Second).Changes, 1)
 }
 
+// Guards against an upstream that began to drain just before a drill and is used behind it, as its reports
+// have the same number.
+func TestDrainThatNobodyHadReadCountsByAnEqualReport(t *testing.T) {
+	var known reconcile.Upstreams
+	known.Apply(reports(0, true, report(3, false)), time.Second)
+	require.True(t, known.Apply(reports(1, true, report(3, true)), 2*time.Second).Changes[0].Upstream.Draining)
+}
+
 // Guards against an upstream that is never used again, since its clock was set back or its reports
 // have no order.
 func TestReportsOfALaterTimeAreAlwaysUsed(t *testing.T) {
