--- a/internal/gateway/applier.go
+++ b/internal/gateway/applier.go
@@ -25,7 +25,7 @@
 	epochRose func(from, to int64)
 	// proofChanged is called when the host loses the proof of its configuration or gains it.
 	proofChanged func(proof.State)
-	// highestVersion returns the highest version of the configuration that a peer tells.
+	// highestVersion returns the highest version of the configuration in the digests of peers.
 	highestVersion func() int64
 
 	mu sync.Mutex
--- a/internal/gateway/applier_test.go
+++ b/internal/gateway/applier_test.go
@@ -82,7 +82,7 @@
 	require.Equal(t, proof.Peer, follower.currentProof().Basis)
 }
 
-// Guards against a host that confirms its configuration although a peer tells a higher version.
+// Guards against a host that confirms its configuration although a digest of a peer has a higher version.
 func TestHigherVersionOfAPeerKeepsAConfigurationUnconfirmed(t *testing.T) {
 	var last control.OperatorRead
 	highest := int64(0)
@@ -150,7 +150,7 @@
 	require.True(t, follower.last.Update.Unproven, "confirmed as of %v", follower.last.RequestedAt)
 }
 
-// Guards against a ledger that tells in an epoch which version its holder knew in an earlier one.
+// Guards against a version in the ledger that its holder knew to be in force in an earlier epoch only.
 func TestHolderTellsNoVersionOfAnEarlierEpoch(t *testing.T) {
 	a := newApplied()
 	a.applyOperator(t.Context(), listed(4), time.Minute)
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -15,7 +15,7 @@
 	eventReturned = event.Define(951, zapcore.InfoLevel, "host reaches upstreams again")
 )
 
-// announcer tells peers in the host's digests whether it is cut off from all upstreams.
+// announcer adds to the host's digests whether it is cut off from all upstreams.
 type announcer struct{ *Gateway }
 
 // Digest implements control.Observer.
--- a/internal/gateway/proof/proof.go
+++ b/internal/gateway/proof/proof.go
@@ -49,7 +49,7 @@
 	// ProvenEpoch is the epoch in which the peer that it was read from has the proof, and
 	// ProvenVersion the version that it has the proof of.
 	ProvenEpoch, ProvenVersion int64
-	// HighestVersion is the highest version that any peer tells.
+	// HighestVersion is the highest version in the digests of peers.
 	HighestVersion int64
 }
 
@@ -62,7 +62,7 @@
 	Version int64
 	// ProvenEpoch and ProvenVersion are those of the latest proof.
 	ProvenEpoch, ProvenVersion int64
-	// Behind is set while a peer tells a higher version.
+	// Behind is set while a digest of a peer has a higher version.
 	Behind bool
 	// carriesLateAt is the boot time from which a former proof is carried over although it was
 	// old, 0 if there is none.
