duty: builds that know no epochs give out no token of a claim that a copy lacks

Cause: that build claims with the copy's token plus 1, which is the token of the claim that the copy lacks, as this build counted by one too in the first epoch.

Why it works: in the first epoch tokens rise by 1,024, so that the claims of former builds on the copy stay below the lost one, and the platform refuses them. Later epochs have tokens by position, far above. Two former builds are not kept apart by it: neither knows of the drill.

--- a/internal/gateway/duty/ledger.go
+++ b/internal/gateway/duty/ledger.go
@@ -155,14 +155,19 @@
 // earlier one comes from a copy, or was written late: its holder holds nothing any more.
 func (l Ledger) OfEpoch(epoch int64) bool { return l.Token/epochTokens == epoch }
 
+// tokenStride is the distance of tokens in the first epoch of the log.
+const tokenStride = 1 << 10
+
 // claimToken returns the token of a claim that is written at a position.
 //
 // Scenario: the log comes back from a copy without the latest claims, and a late write of a
 // former epoch lands in the new one. The tokens of an epoch are above all of earlier ones, and
-// as no offset is given out twice in it, so is no token.
+// as no offset is given out twice in it, so is no token. Builds that know no epochs run beside
+// this one and claim with the copy's token plus 1: the stride keeps them off the tokens of claims
+// that are lost.
 func (l Ledger) claimToken(at topic.Position) int64 {
 	if at.Epoch == 0 {
-		return l.Token + 1
+		return l.Token + tokenStride
 	}
 	return max(l.Token, at.Epoch*epochTokens+at.Offset) + 1
 }
