duty: hosts tell each other what was decided on rollouts behind a copy of the log

Cause: the shares that a holder decided were remembered by each host for itself. A host that starts has no memory, and reads the copy's ledger, in which the rollout runs or has not begun.

Why it works: in an epoch above 0 digests contain the remembered shares, and a host takes over those of services that it remembers nothing of, the smallest ones.

--- a/internal/gateway/duty/driver.go
+++ b/internal/gateway/duty/driver.go
@@ -137,7 +137,7 @@
 func (c systemClock) Wall() time.Time  { return c.usage.Now() }
 
 // Driver claims the duties and performs them while this host holds them. HeldToken,
-// VersionShares and Stop are safe for concurrent use.
+// VersionShares, RememberedShares and Stop are safe for concurrent use.
 type Driver struct {
 	Deps
 	started  time.Duration
@@ -172,8 +172,10 @@
 	// runs holds the rollouts by service while this host holds the duties.
 	runs   map[string]*rollout.Run
 	shares atomic.Pointer[[]members.VersionShare]
-	// remembered holds the latest shares that a holder of the duties decided, by service.
-	remembered map[string]members.VersionShare
+	// remembered holds the latest shares that a holder of the duties decided, by service;
+	// rememberedShares are the same for other goroutines.
+	remembered       map[string]members.VersionShare
+	rememberedShares atomic.Pointer[[]members.VersionShare]
 }
 
 // ledgerWrite identifies a write of the ledger as it is read in an epoch of the log.
--- a/internal/gateway/duty/duty_test.go
+++ b/internal/gateway/duty/duty_test.go
@@ -149,6 +149,7 @@
 		s.Peers = append(s.Peers, &members.Peer{Digest: members.Digest{
 			Host: other.name, Incarnation: other.incarnation, Ready: true, Stopping: other.stopping, LedgerToken: token, LedgerAge: age, Usage: other.usage.Recent(other.Wall()),
 			VersionStats: other.VersionStats(h.sim.rollouts), VersionShares: other.driver.VersionShares(),
+			Extension: members.Extension{RolloutShares: other.driver.RememberedShares()},
 		}})
 	}
 	return s
--- a/internal/gateway/duty/rollouts.go
+++ b/internal/gateway/duty/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -64,9 +65,42 @@
 	for _, share := range shares {
 		d.remembered[share.Service] = share
 	}
+	for service, share := range sharesOfPeers(s.Peers) {
+		if _, known := d.remembered[service]; !known {
+			d.remembered[service] = share
+		}
+	}
 	maps.DeleteFunc(d.remembered, func(service string, share members.VersionShare) bool {
 		return s.View.Rollouts[service].Target != share.Version
 	})
+	remembered := slices.Collect(maps.Values(d.remembered))
+	d.rememberedShares.Store(&remembered)
+}
+
+// sharesOfPeers returns the shares that peers remember, by service; the smallest ones, as they do
+// the least harm.
+//
+// Scenario: the log comes back from a copy, the hosts that remember what was decided can't write
+// to it, and one that started behind that claims the duties.
+func sharesOfPeers(peers []*members.Peer) map[string]members.VersionShare {
+	smallest := map[string]members.VersionShare{}
+	for _, p := range peers {
+		for _, share := range p.Extension.RolloutShares {
+			if known, ok := smallest[share.Service]; !ok || share.Share < known.Share {
+				smallest[share.Service] = share
+			}
+		}
+	}
+	return smallest
+}
+
+// RememberedShares returns the latest shares that this host knows a holder of the duties to have
+// decided.
+func (d *Driver) RememberedShares() []members.VersionShare {
+	if shares := d.rememberedShares.Load(); shares != nil {
+		return *shares
+	}
+	return nil
 }
 
 // VersionShares returns the shares that rollouts give to their targets, as decided by
--- a/internal/gateway/duty/rollouts_test.go
+++ b/internal/gateway/duty/rollouts_test.go
@@ -75,6 +75,37 @@
 	}
 }
 
+// Guards against a second start of a version that was rolled back, since the host that claims the
+// duties behind a copy has started after it, and those that remember it can't write the log.
+func TestVersionThatWasRolledBackStaysSoForAClaimantWithoutMemory(t *testing.T) {
+	for _, age := range []time.Duration{time.Second, 20 * time.Second} {
+		sim := newSimulation(3, 1)
+		sim.run(3 * time.Second)
+		sim.orderRollout(false)
+		sim.run(2 * time.Second)
+		holder := sim.holder()
+		sim.badTarget = true
+		sim.run(500 * time.Millisecond)
+		require.Zero(t, holder.share())
+		sim.badTarget = false
+		sim.restoreCopy(age)
+		claimant := -1
+		for i, h := range sim.hosts {
+			h.logUnreachable = true
+			if h != holder && claimant < 0 {
+				claimant = i
+			}
+		}
+		holder.alive = false
+		sim.start(claimant)
+		for sim.now < 20*time.Second {
+			sim.run(stepLength)
+			require.Zero(t, sim.hosts[claimant].share(), "at %v", sim.now)
+		}
+		require.Same(t, sim.hosts[claimant], sim.holder())
+	}
+}
+
 // Guards against a status of a rollout that operators never get, since the copy lacks it.
 func TestStatusOfARolloutIsReportedAgainBehindADrill(t *testing.T) {
 	sim := newSimulation(3, 1)
--- a/internal/gateway/members/digest.go
+++ b/internal/gateway/members/digest.go
@@ -131,11 +131,14 @@
 	// Isolated when it reaches no upstream itself.
 	TakesForwarded bool `msgpack:"takes,omitempty"`
 	Isolated       bool `msgpack:"isolated,omitempty"`
+	// RolloutShares are the latest shares that the host knows a holder of the duties to have
+	// decided, in a log that came back from a copy.
+	RolloutShares []VersionShare `msgpack:"rollouts,omitempty"`
 }
 
 func (e Extension) empty() bool {
 	return len(e.Leaving) == 0 && !e.Tree && e.Strength == 0 && e.Uptime == 0 && len(e.Paces) == 0 && e.Observed == nil &&
-		e.ProvenVersion == 0 && !e.TakesForwarded && !e.Isolated
+		e.ProvenVersion == 0 && !e.TakesForwarded && !e.Isolated && len(e.RolloutShares) == 0
 }
 
 // paces returns the paces of versions as they are sent.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -343,6 +343,10 @@
 	token, age := g.duties.HeldToken()
 	view := g.loop.Snapshot().View
 	provenEpoch, provenVersion := g.provenConfig()
+	var rolloutShares []members.VersionShare
+	if g.updates.epoch.Load() > 0 {
+		rolloutShares = g.duties.RememberedShares()
+	}
 	return &members.Digest{
 		Host: g.options.Host, Zone: g.options.AvailabilityZone, CallerAddress: g.options.Listen.Callers, PeerAddress: g.peerAddress,
 		Incarnation: g.incarnation, Sequence: g.digestSequence, Ready: g.ready(), Stopping: g.stopping.Load(),
@@ -350,7 +354,7 @@
 		Crashes: crashes, Cleared: cleared,
 		QuotaUsed: g.quota.Used(), Usage: g.usage.Recent(g.usage.Now()), Demand: g.inFlight.Demand(),
 		VersionStats: g.inFlight.VersionStats(view.Rollouts), TargetStats: g.inFlight.TargetStats(view), VersionShares: g.duties.VersionShares(),
-		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving(), Tree: true, Strength: g.options.Strength, Uptime: now - g.startedAt, Observed: g.observed.Recent(now), ProvenEpoch: provenEpoch, ProvenVersion: provenVersion},
+		ViewAge: g.viewAge(now), Extension: members.Extension{Leaving: g.advisories.Leaving(), Tree: true, Strength: g.options.Strength, Uptime: now - g.startedAt, Observed: g.observed.Recent(now), ProvenEpoch: provenEpoch, ProvenVersion: provenVersion, RolloutShares: rolloutShares},
 	}
 }
 
