gateway: a fleet that starts long behind a copy of the log does not wait for records

Cause: a host that starts there can't know whether hosts have yet to write their records again, and waits as long as that may take, unless a peer knows the fleet. When all start at once no peer does.

Evidence: TestFleetThatStartsLongBehindADrillDoesNotWaitForRecords fails without the shortcut (the list counts as complete after 4.0 s, not by the note).

Why it works: once the records are written again three hosts note in the list in which epoch it became complete and when. Who starts 30 s later or more, in that epoch, takes the list for complete. A note that a copy brings back is of an earlier epoch. Former builds pass over the note, as it holds no address (TestListIsSettledLongBehindItsCompletion).

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -43,6 +43,11 @@
 	// recordsRewrittenWithin is the time in which hosts notice that the log's epoch has risen
 	// and write their records again, in addition to their share of rewriteSpread.
 	recordsRewrittenWithin = 4 * time.Second
+	// settledAfter is the time from which a list that was complete is taken for complete by
+	// hosts that start: also those that could not reach the log have written their records.
+	settledAfter = 30 * time.Second
+	// completeMarkers is the number of hosts that note in the log that the list is complete.
+	completeMarkers = 3
 	// rewritesPerSecond bounds the records that all hosts write together when the epoch rises.
 	rewritesPerSecond = 300
 )
@@ -68,6 +73,26 @@
 	PeerAddress string `json:"peers"`
 }
 
+// completeKey is the key in hostsTopic of a completeRecord. No host has this name.
+const completeKey = "*complete"
+
+// completeRecord says since when the list holds all hosts again in an epoch of the log.
+type completeRecord struct {
+	Epoch    int64 `json:"epoch"`
+	AtMillis int64 `json:"atMillis"`
+}
+
+// settled reports whether the list has held all hosts for long in an epoch.
+func settled(entries []topic.Entry, epoch int64, wall time.Time) bool {
+	for _, entry := range entries {
+		var record completeRecord
+		if entry.Key == completeKey && json.Unmarshal(entry.Value, &record) == nil {
+			return record.Epoch == epoch && wall.Sub(time.UnixMilli(record.AtMillis)) >= settledAfter
+		}
+	}
+	return false
+}
+
 // errUnlisted is returned while the list of all hosts lacks this one.
 var errUnlisted = eris.New("this host is not listed")
 
@@ -89,8 +114,8 @@
 			continue
 		}
 		log.succeeded()
-		complete := own.listsAll(len(hosts))
-		g.submitHosts(ctx, hosts, complete, "log")
+		complete, source := own.listsAll(len(hosts))
+		g.submitHosts(ctx, hosts, complete, source)
 		if !complete {
 			asked.requestUntil(ctx, own.rewrittenAt(len(hosts)))
 			continue
@@ -108,6 +133,9 @@
 	// listedAt is the boot time at which the list was first read in listedEpoch, 0 before.
 	listedAt    time.Duration
 	listedEpoch int64
+	// settled is set if the list has held all hosts for long, and marked once this host has
+	// noted in listedEpoch that it does.
+	settled, marked bool
 }
 
 // listHosts writes this host's record unless that was done in the log's epoch, and then reads
@@ -129,8 +157,9 @@
 		return nil, eris.Wrapf(errUnlisted, "in epoch %d: %v", end.Epoch, writeErr)
 	}
 	if r.listedAt == 0 || end.Epoch > r.listedEpoch {
-		r.listedAt, r.listedEpoch = boottime.Now(), end.Epoch
+		r.listedAt, r.listedEpoch, r.marked = boottime.Now(), end.Epoch, false
 	}
+	r.settled = settled(entries, end.Epoch, time.Now())
 	r.written, r.epoch = true, max(end.Epoch, r.epoch)
 	return hosts, nil
 }
@@ -148,13 +177,22 @@
 	return err
 }
 
-// listsAll reports whether the list holds all hosts.
+// The sources of the list of all hosts, other than a peer.
+const (
+	sourceLog        = "log"
+	sourceSettledLog = "settled log"
+)
+
+// listsAll reports whether the list holds all hosts, and where that is known from.
 //
 // Scenario: the log comes back from a copy that lacks the records of hosts that started lately,
 // and another host starts before they have written them again. It would use the limits of
 // fewer hosts than there are. Hosts that knew their fleet before still know it.
-func (r *registration) listsAll(hosts int) bool {
-	return r.epoch == 0 || r.g.loop.Snapshot().FleetKnown() || boottime.Now() >= r.rewrittenAt(hosts)
+func (r *registration) listsAll(hosts int) (complete bool, source string) {
+	if r.settled {
+		return true, sourceSettledLog
+	}
+	return r.epoch == 0 || r.g.loop.Snapshot().FleetKnown() || boottime.Now() >= r.rewrittenAt(hosts), sourceLog
 }
 
 // rewrittenAt returns the boot time at which all hosts have written their records again.
@@ -162,6 +200,28 @@
 	return r.listedAt + recordsRewrittenWithin + rewriteSpread(hosts)
 }
 
+// markComplete notes in the log that the list holds all hosts again, once in an epoch that a copy
+// began, for fleets that start later. Only some hosts do so.
+//
+// Scenario: all hosts start again hours after a copy. None has a peer that knows the fleet, and
+// all would wait for records that were written long ago, and refuse customers with a quota.
+func (r *registration) markComplete(ctx context.Context, hosts int) {
+	if r.marked || r.listedEpoch == 0 || r.settled || boottime.Now() < r.rewrittenAt(hosts) {
+		return
+	}
+	r.marked = true
+	if rendezvous.Rank(completeKey, r.g.options.Host, r.g.loop.Snapshot().SenderNames) >= completeMarkers {
+		return
+	}
+	record, err := json.Marshal(completeRecord{Epoch: r.listedEpoch, AtMillis: time.Now().UnixMilli()})
+	if err == nil {
+		_, err = r.g.ports.Feed.Put(ctx, hostsTopic, completeKey, record, topic.Anywhere)
+	}
+	if err != nil {
+		r.g.events.Emit(eventLost, zap.String("dependency", "log: complete list of hosts"), event.Err(err))
+	}
+}
+
 // awaitDiscovery waits until the list is to be read again: at intervals by a host without
 // peers, and once by all when the log's epoch has risen, since records may be gone then.
 func (r *registration) awaitDiscovery(ctx context.Context, hosts int) {
@@ -170,6 +230,7 @@
 			sleep(ctx, rand.N(max(rewriteSpread(hosts), 1)))
 			return
 		}
+		r.markComplete(ctx, hosts)
 		if waited >= rediscoverAfter && len(r.g.loop.Snapshot().Peers) == 0 {
 			return
 		}
