forward: a version gets no more than its share while the others pause

Cause: upstreams that pause are left out before the side of a rollout is chosen, and a side without upstreams was replaced by the other one, whatever its share.

Why it works: while an upstream of another version only wants none for a while, requests beyond the target's share are refused with the time of that pause, and so is one that has had all others of a service whose target was rolled back. Where no other version's upstream comes back, the target still serves all.

--- a/internal/gateway/forward/explain.go
+++ b/internal/gateway/forward/explain.go
@@ -163,17 +163,17 @@
 
 // sides returns the sides of a rollout that the first attempt of a request may get, as
 // filterByVersion chooses them.
-func (p *proxyRequest) sides(view *catalog.View, open []*catalog.Member) []side {
+func (p *proxyRequest) sides(view *catalog.View, open []*catalog.Member, now time.Duration) []side {
 	rollout, ok := view.Rollouts[p.service]
 	if !ok {
 		return []side{{open, 1}}
 	}
 	share := p.h.VersionShares.Share(p.service, rollout.Target)
 	if share <= 0 || share >= 1 {
-		return []side{{p.filterByVersion(open, rollout.Target, share, 0), 1}}
+		return []side{{p.filterByVersion(view, open, rollout.Target, share, 0, now), 1}}
 	}
-	target := p.filterByVersion(open, rollout.Target, share, 0)
-	others := p.filterByVersion(open, rollout.Target, share, share)
+	target := p.filterByVersion(view, open, rollout.Target, share, 0, now)
+	others := p.filterByVersion(view, open, rollout.Target, share, share, now)
 	if slices.Equal(target, others) {
 		return []side{{target, 1}}
 	}
@@ -193,7 +193,7 @@
 	}
 	open, pause := of.open(view, now)
 	var cases []explain.Case
-	for _, s := range of.sides(view, open) {
+	for _, s := range of.sides(view, open, now) {
 		c := c
 		c.Share *= s.share
 		of.explainSide(&c, snapshot, service, s.members, now)
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -204,7 +204,7 @@
 	members, pause := p.open(view, now)
 	if rollout, ok := view.Rollouts[p.service]; ok {
 		share := p.h.VersionShares.Share(p.service, rollout.Target)
-		members = p.filterByVersion(members, rollout.Target, share, rand.Float64())
+		members = p.filterByVersion(view, members, rollout.Target, share, rand.Float64(), now)
 	}
 	if len(members) > 1 {
 		members = slices.DeleteFunc(members, func(m *catalog.Member) bool { return m.ID == p.closedIdle })
@@ -227,6 +227,9 @@
 	return members, pause
 }
 
+// ruleAttempted rules out an upstream that has had the request.
+const ruleAttempted = "attempted"
+
 // ruledOut returns what rules an upstream out for the next attempt, "" if nothing does, and
 // the remaining pause of one that only wants no requests for a while.
 func (p *proxyRequest) ruledOut(view *catalog.View, m *catalog.Member, now time.Duration) (string, time.Duration) {
@@ -236,7 +239,7 @@
 	case view.ExcludedZones[m.Zone]:
 		return "zone excluded", 0
 	case p.attempted[m.ID] && m.ID != p.closedIdle:
-		return "attempted", 0
+		return ruleAttempted, 0
 	}
 	switch state := p.h.Advisories.State(m, now); {
 	case state.Leaving:
@@ -255,7 +258,10 @@
 // other versions. draw, a random number from 0 to 1, decides on the side. A retry
 // goes to the other versions until the target gets all requests. If one side has
 // no upstreams, those of the other are returned.
-func (p *proxyRequest) filterByVersion(members []*catalog.Member, target string, share, draw float64) []*catalog.Member {
+//
+// Load pattern: more requests come than the other versions' upstreams can run, and these ask
+// for a pause. The target gets no more than its share meanwhile.
+func (p *proxyRequest) filterByVersion(view *catalog.View, members []*catalog.Member, target string, share, draw float64, now time.Duration) []*catalog.Member {
 	var onTarget, others []*catalog.Member
 	for _, m := range members {
 		if m.Version == target {
@@ -265,10 +271,27 @@
 		}
 	}
 	preferTarget := draw < share && (p.attempts == 0 || share >= 1)
-	if len(others) == 0 || preferTarget && len(onTarget) > 0 {
+	switch {
+	case preferTarget && len(onTarget) > 0:
 		return onTarget
+	case len(others) > 0:
+		return others
+	case !preferTarget && p.othersReturn(view, target, share, now):
+		return nil
 	}
-	return others
+	return onTarget
+}
+
+// othersReturn reports whether upstreams of other versions than the target of a rollout take
+// requests again soon, or have had this one while the target is to get none.
+func (p *proxyRequest) othersReturn(view *catalog.View, target string, share float64, now time.Duration) bool {
+	return slices.ContainsFunc(view.Members[p.service], func(m *catalog.Member) bool {
+		if m.Version == target {
+			return false
+		}
+		rule, pausedFor := p.ruledOut(view, m, now)
+		return pausedFor > 0 || rule == ruleAttempted && share <= 0
+	})
 }
 
 func (p *proxyRequest) placement(service *catalog.Service) place.Request {
