advisory: a pause that a process asked for before its entry was read outlasts that

Cause: a pause is kept for the process whose entry the host knows. The answer came from the next process, whose entry made it a new one without a pause.

Evidence: TestPauseOfAProcessWhoseEntryIsNotReadYetOutlastsThat fails without the change and holds.

Why it works: a pause is also kept by ID with the time of day at which it was said. It holds for a process that was born before that, with 100 ms for clocks that differ.

--- a/internal/gateway/advisory/advisory.go
+++ b/internal/gateway/advisory/advisory.go
@@ -64,6 +64,16 @@
 	listedAt time.Duration
 }
 
+// pause is the latest one that a process under an ID asked for.
+type pause struct {
+	until time.Duration
+	// saidAtMillis is the time of day at which it was said, in Unix milliseconds.
+	saidAtMillis int64
+}
+
+// clockMargin is how far the times of day of hosts and upstreams may differ.
+const clockMargin = 100 * time.Millisecond
+
 // Table keeps the advisories of all instances. It is safe for concurrent use.
 // Boot time counts suspends, so a host that was suspended acts on what is left of
 // a pause.
@@ -72,12 +82,15 @@
 	// records is replaced on every change, so that requests read it without a
 	// lock.
 	records atomic.Pointer[map[Instance]record]
+	// pauses holds the latest pauses by the IDs of upstreams, and is replaced likewise.
+	pauses atomic.Pointer[map[string]pause]
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	t := &Table{}
 	t.records.Store(&map[Instance]record{})
+	t.pauses.Store(&map[string]pause{})
 	return t
 }
 
@@ -120,13 +133,16 @@
 	}
 }
 
-// Pause records that an instance takes no requests for a time, and returns the
-// time that applies. A shorter pause does not end a longer one.
-func (t *Table) Pause(i Instance, d, now time.Duration) time.Duration {
+// Pause records that a member takes no requests for a time, as it said at a time of day, and
+// returns the time that applies. A shorter pause does not end a longer one.
+func (t *Table) Pause(m *catalog.Member, d, now time.Duration, wall time.Time) time.Duration {
 	d = min(d, maxPause)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.update(i, now, func(r *record) { r.pausedUntil = max(r.pausedUntil, now+d) })
+	t.update(InstanceOf(m), now, func(r *record) { r.pausedUntil = max(r.pausedUntil, now+d) })
+	pauses := maps.Clone(*t.pauses.Load())
+	pauses[m.ID] = pause{until: max(pauses[m.ID].until, now+d), saidAtMillis: wall.UnixMilli()}
+	t.pauses.Store(&pauses)
 	return d
 }
 
@@ -137,7 +153,19 @@
 		return State{}
 	}
 	r := records[InstanceOf(m)]
-	return State{Leaving: r.leaving, PausedFor: max(r.pausedUntil-now, 0)}
+	return State{Leaving: r.leaving, PausedFor: max(max(r.pausedUntil, t.pausedUnlisted(m))-now, 0)}
+}
+
+// pausedUnlisted returns the end of the pause that a member asked for before its entry was read.
+//
+// Scenario: an upstream starts again under its ID and asks for a pause while the entry of its former
+// process is listed.
+func (t *Table) pausedUnlisted(m *catalog.Member) time.Duration {
+	p, known := (*t.pauses.Load())[m.ID]
+	if !known || m.Born == 0 || p.saidAtMillis+clockMargin.Milliseconds() < m.Born {
+		return 0
+	}
+	return p.until
 }
 
 // Leaving returns what this host reports to its peers: the instances that leave
@@ -171,4 +199,7 @@
 		}
 	}
 	t.records.Store(&records)
+	pauses := maps.Clone(*t.pauses.Load())
+	maps.DeleteFunc(pauses, func(_ string, p pause) bool { return now >= p.until })
+	t.pauses.Store(&pauses)
 }
--- a/internal/gateway/advisory/advisory_test.go
+++ b/internal/gateway/advisory/advisory_test.go
@@ -10,6 +10,9 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 )
 
+// saidAt is when pauses are said, in the time of day.
+var saidAt = time.UnixMilli(10_000)
+
 func member(id string, born int64) *catalog.Member {
 	return &catalog.Member{Upstream: catalog.Upstream{ID: id, Born: born}}
 }
@@ -52,11 +55,24 @@
 func TestPauseEndsAndIsBounded(t *testing.T) {
 	table := NewTable()
 	m := member("u", 1)
-	table.Pause(InstanceOf(m), 2*time.Second, 0)
-	table.Pause(InstanceOf(m), time.Second, time.Second/2)
+	table.Pause(m, 2*time.Second, 0, saidAt)
+	table.Pause(m, time.Second, time.Second/2, saidAt)
 	require.Equal(t, time.Second, table.State(m, time.Second).PausedFor, "a shorter pause does not end a longer one")
 	require.False(t, table.State(m, 2*time.Second).Closed())
-	require.Equal(t, maxPause, table.Pause(InstanceOf(m), math.MaxInt64, 0))
+	require.Equal(t, maxPause, table.Pause(m, math.MaxInt64, 0, saidAt))
 	table.Retain(nil, maxPause)
 	require.Empty(t, *table.records.Load())
 }
+
+// Guards against requests for an upstream that started again under its ID and asked for a pause
+// before its new entry was read (the case restart-pause of the second review).
+func TestPauseOfAProcessWhoseEntryIsNotReadYetOutlastsThat(t *testing.T) {
+	table := NewTable()
+	born := saidAt.UnixMilli() - 500
+	table.Pause(member("u", 1), 2*time.Second, 0, saidAt)
+	require.Equal(t, time.Second, table.State(member("u", born), time.Second).PausedFor)
+	require.False(t, table.State(member("u", saidAt.UnixMilli()+500), time.Second).Closed(), "it started behind that")
+	require.False(t, table.State(member("other", born), time.Second).Closed())
+	table.Retain(nil, 2*time.Second)
+	require.Empty(t, *table.pauses.Load())
+}
--- a/internal/gateway/forward/advisory.go
+++ b/internal/gateway/forward/advisory.go
@@ -37,7 +37,7 @@
 	case head.RetryAfterErr != nil:
 		a.h.Events.Emit(eventAdvisoryIgnored, zap.String("subject", a.member.ID), zap.String("request", a.call.ID), event.Err(head.RetryAfterErr))
 	case head.RetryAfter > 0:
-		pause := a.h.Advisories.Pause(instance, head.RetryAfter, now)
+		pause := a.h.Advisories.Pause(a.member, head.RetryAfter, now, a.h.Usage.Now())
 		a.h.Stats.UpstreamPauses.Add(1)
 		a.h.Events.Emit(eventUpstreamPauses, zap.String("subject", a.member.ID), zap.String("request", a.call.ID), zap.Duration("pause", pause))
 	}
--- a/internal/gateway/forward/explain_test.go
+++ b/internal/gateway/forward/explain_test.go
@@ -141,7 +141,7 @@
 	state.member("chat-00").Draining = true
 	state.member("chat-01").Zone, view.ExcludedZones["out"] = "out", true
 	h.Advisories.Leave(advisory.InstanceOf(state.member("chat-02")), now)
-	h.Advisories.Pause(advisory.InstanceOf(state.member("chat-03")), time.Minute, now)
+	h.Advisories.Pause(state.member("chat-03"), time.Minute, now, time.Now())
 	h.InFlight.MarkSuspect("chat-04", now+time.Minute)
 	state.member("chat-05").Zone = "b"
 	h.InFlight.RecordFailure("chat-06", now)
@@ -332,7 +332,7 @@
 		"forecast": {explain.Query{Route: "chat", Parts: []explain.Part{{ID: "x", Tokens: 1_000_000}}, DeadlineMs: 500}, disturb, "no engine can begin in time: first event in "},
 		"pauses": {chatQuery, func(h *Handler, s *fixedState) {
 			for _, m := range s.snapshot.View.Members["chat"] {
-				h.Advisories.Pause(advisory.InstanceOf(m), time.Minute, boottime.Now())
+				h.Advisories.Pause(m, time.Minute, boottime.Now(), time.Now())
 			}
 		}, "all upstreams pause"},
 		"none": {chatQuery, func(_ *Handler, s *fixedState) { s.snapshot.View.Members["chat"] = nil }, "no upstream"},
--- a/internal/gateway/forward/rollout_test.go
+++ b/internal/gateway/forward/rollout_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
-	"github.com/marigoldmux/marigoldmux/internal/gateway/advisory"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/explain"
 )
@@ -23,7 +22,7 @@
 			state.member(id).Version = "v2"
 		}
 		for _, id := range []string{"look-00", "look-01", "look-02"} {
-			h.Advisories.Pause(advisory.InstanceOf(state.member(id)), pause, boottime.Now())
+			h.Advisories.Pause(state.member(id), pause, boottime.Now(), time.Now())
 		}
 		target := 0
 		for range draws {
