--- a/internal/gateway/duty/compat_test.go
+++ b/internal/gateway/duty/compat_test.go
@@ -31,8 +31,16 @@
 	}
 }
 
+// epochLedger is what testdata/compat/epochs.json holds, of a build with epochs of the log.
+func epochLedger() duty.Ledger {
+	l := formerLedger()
+	l.Token, l.ConfigVersion = 2<<32+51, 52
+	return l
+}
+
 func TestReadsFormerData(t *testing.T) {
 	for name, want := range map[string]duty.Ledger{
+		"epochs": epochLedger(),
 		"ledger": formerLedger(),
 		// A ledger without a holder and without what may be left out.
 		"released": {Token: 17, WriteID: 18, NextWindow: 19},
--- a/internal/gateway/members/compat_test.go
+++ b/internal/gateway/members/compat_test.go
@@ -1,6 +1,7 @@
 package members_test
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"testing"
@@ -60,6 +61,66 @@
 	require.ErrorIs(t, err, members.ErrDigest)
 }
 
+// epochDigest is what testdata/compat/epochs.msgpack holds, of a build with epochs of the log.
+func epochDigest() members.Digest {
+	d := fullDigest()
+	d.VersionStats[0].Pace = members.Timing{Count: 33, Sum: 34 * time.Second, Squares: 35.5}
+	d.Extension = members.Extension{
+		Leaving: []advisory.Instance{1<<63 + 31, 32}, Tree: true, Strength: 0.4, Uptime: 36 * time.Second,
+		ProvenEpoch: 37, ProvenVersion: 38, TakesForwarded: true, Isolated: true,
+	}
+	return d
+}
+
+// TestReadsDigestsWithEpochs checks that the present build reads and writes the digests and
+// summaries of a build with epochs of the log as that one does.
+func TestReadsDigestsWithEpochs(t *testing.T) {
+	want := epochDigest()
+	data, err := os.ReadFile(filepath.Join("testdata", "compat", "epochs.msgpack"))
+	require.NoError(t, err)
+	got, err := members.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	again, err := members.Encode(&got)
+	require.NoError(t, err)
+	require.Equal(t, data, again)
+
+	data, err = os.ReadFile(filepath.Join("testdata", "compat", "epochs-summary.msgpack"))
+	require.NoError(t, err)
+	summary, err := members.DecodeSummary(data)
+	require.NoError(t, err)
+	heartbeat := want.Trim(members.Heartbeat)
+	require.Len(t, summary.Hosts, 1)
+	require.Equal(t, heartbeat.Extension, summary.Hosts[0].Extension)
+	again, err = members.EncodeSummary(summary)
+	require.NoError(t, err)
+	require.Equal(t, data, again)
+}
+
+// TestBuildWithEpochsPassesOverLaterFields checks that what was added to digests since leaves the
+// bytes of all that the former build reads as they were.
+func TestBuildWithEpochsPassesOverLaterFields(t *testing.T) {
+	former, err := os.ReadFile(filepath.Join("testdata", "compat", "epochs.msgpack"))
+	require.NoError(t, err)
+	d := epochDigest()
+	d.Extension.RolloutShares = []members.VersionShare{{Service: "service-s", Version: "v2", Share: 0.25}}
+	data, err := members.Encode(&d)
+	require.NoError(t, err)
+	var got, want members.Digest
+	read := func(data []byte, d *members.Digest) map[string]any {
+		decoder := msgpack.NewDecoder(bytes.NewReader(data))
+		require.NoError(t, decoder.Decode(d))
+		extension, err := decoder.DecodeMap()
+		require.NoError(t, err)
+		return extension
+	}
+	extension, formerExtension := read(data, &got), read(former, &want)
+	require.Equal(t, want, got)
+	require.Contains(t, extension, "rollouts")
+	delete(extension, "rollouts")
+	require.Equal(t, formerExtension, extension)
+}
+
 func TestReadsFormerData(t *testing.T) {
 	full := fullDigest()
 	// Values of zero of the flags, and a load that tells nothing.
--- a/internal/gateway/relay/compat_test.go
+++ b/internal/gateway/relay/compat_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 )
 
@@ -113,3 +114,31 @@
 	}
 	require.Equal(t, want, got)
 }
+
+// TestReadsMessagesWithEpochs checks that the present build reads and writes the messages between
+// readers and followers as a build with epochs of the log does.
+func TestReadsMessagesWithEpochs(t *testing.T) {
+	response := formerResponse()
+	response.Operator.Epoch, response.Upstreams.Epoch = 46, 47
+	response.Operator.Changes[1].Kept, response.Upstreams.Changes[1].Kept = true, true
+	response.Upstreams.Changes[1].Upstream.Sequence = 48
+	response.OperatorLag, response.ProvenEpoch, response.ProvenVersion = 49*time.Millisecond, 46, 50
+	for name, test := range map[string]struct{ want, got any }{
+		"request": {
+			&relay.Request{Operator: 41, Upstreams: 42, OperatorEpoch: 43, UpstreamsEpoch: 44, Wait: 45 * time.Millisecond}, &relay.Request{},
+		},
+		"response": {&response, &relay.Response{}},
+		"hosts": {
+			&relay.Hosts{Complete: true, Hosts: []members.ListedHost{{Name: "front-a-1", PeerAddress: "10.1.0.14:7600"}}}, &relay.Hosts{},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data := readFile(t, "epochs-"+name+".msgpack")
+			require.NoError(t, msgpack.Unmarshal(data, test.got))
+			require.Equal(t, test.want, test.got)
+			again, err := msgpack.Marshal(test.got)
+			require.NoError(t, err)
+			require.Equal(t, data, again)
+		})
+	}
+}
--- a/internal/gateway/settled_test.go
+++ b/internal/gateway/settled_test.go
@@ -26,3 +26,16 @@
 	require.False(t, settled([]topic.Entry{{Key: completeKey, Value: []byte("{")}}, 2, now))
 	require.Len(t, listedHosts(entries(2, 0)), 1, "the note is no host")
 }
+
+// TestReadsFormerProof checks that the proof of the configuration is recorded where and as a build
+// with epochs of the log does.
+func TestReadsFormerProof(t *testing.T) {
+	const former = `{"epoch":2,"version":53}`
+	var record proofRecord
+	require.NoError(t, json.Unmarshal([]byte(former), &record))
+	require.Equal(t, proofRecord{Epoch: 2, Version: 53}, record)
+	again, err := json.Marshal(record)
+	require.NoError(t, err)
+	require.Equal(t, former, string(again))
+	require.Equal(t, []string{"keyed.proof", "configuration"}, []string{proofTopic, proofKey})
+}
