--- a/internal/gateway/brittle/brittle_test.go
+++ b/internal/gateway/brittle/brittle_test.go
@@ -59,63 +59,102 @@
 	require.Zero(t, l.Wait(idle, hostNames(1), 0))
 }
 
+// The replay of an overload: an upstream with some slots, and hosts that know of each other's
+// requests as they were told last.
+const (
+	slots     = 8
+	work      = 100 * time.Millisecond
+	step      = 5 * time.Millisecond
+	tellEvery = 200 * time.Millisecond
+	replayFor = 10 * time.Second
+	overload  = 5
+)
+
+type replay struct {
+	random   *rand.Rand
+	names    []string
+	limiters []*Limiter
+	// ends holds the ends of the running requests by host, and told their numbers as all
+	// hosts know them.
+	ends     [][]time.Duration
+	told     []int
+	rejected []time.Duration
+	served   int
+}
+
+// newReplay returns a replay with requests in all slots.
+func newReplay(hosts int) *replay {
+	r := &replay{random: rand.New(rand.NewPCG(1, uint64(hosts))), names: hostNames(hosts), ends: make([][]time.Duration, hosts), told: make([]int, hosts)}
+	for _, name := range r.names {
+		l := NewLimiter(name)
+		l.Said("svc", limit, 0)
+		r.limiters = append(r.limiters, l)
+	}
+	for range slots {
+		i := r.random.IntN(hosts)
+		r.ends[i] = append(r.ends[i], time.Duration(r.random.Int64N(int64(work))))
+		slices.Sort(r.ends[i])
+	}
+	return r
+}
+
+// endRequests ends the requests that are due and returns how many still run.
+func (r *replay) endRequests(now time.Duration) int {
+	running := 0
+	for i := range r.ends {
+		for len(r.ends[i]) > 0 && r.ends[i][0] <= now {
+			r.ends[i] = r.ends[i][1:]
+		}
+		running += len(r.ends[i])
+	}
+	return running
+}
+
+// send sends a request of a host, unless it waits, while some run at the upstream. It reports
+// whether the request runs.
+func (r *replay) send(i, running int, now time.Duration) bool {
+	u := Upstream{Instance: 1, Service: "svc", Slots: slots, Own: len(r.ends[i]), Others: sum(r.told) - r.told[i]}
+	switch {
+	case r.limiters[i].Wait(u, r.names, now) > 0:
+		return false
+	case running >= slots:
+		r.limiters[i].Rejected(u, r.names, now)
+		r.rejected = append(r.rejected, now)
+		return false
+	}
+	r.served++
+	r.ends[i] = append(r.ends[i], now+work)
+	return true
+}
+
+func (r *replay) run() {
+	for now := time.Duration(0); now < replayFor; now += step {
+		running := r.endRequests(now)
+		if now%tellEvery == 0 {
+			for i := range r.ends {
+				r.told[i] = len(r.ends[i])
+			}
+		}
+		for range int(overload * slots * step / work) {
+			if r.send(r.random.IntN(len(r.names)), running, now) {
+				running++
+			}
+		}
+	}
+}
+
 // Load pattern: callers of all hosts want five times what an upstream runs, and what hosts know of
 // each other's requests there is old. Each request that finds no slot is rejected.
 func TestUpstreamRejectsNoMoreThanItBears(t *testing.T) {
-	const slots, work, step, stale = 8, 100 * time.Millisecond, 5 * time.Millisecond, 200 * time.Millisecond
 	for _, hosts := range []int{1, 3, 9, 30, 70} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
-			names := hostNames(hosts)
-			limiters := make([]*Limiter, hosts)
-			for i, name := range names {
-				limiters[i] = NewLimiter(name)
-				limiters[i].Said("svc", limit, 0)
-			}
-			random := rand.New(rand.NewPCG(1, uint64(hosts)))
-			running := make([][]time.Duration, hosts)
-			var rejected []time.Duration
-			told := make([]int, hosts)
-			for range slots {
-				i := random.IntN(hosts)
-				running[i] = append(running[i], time.Duration(random.Int64N(int64(work))))
-				slices.Sort(running[i])
-			}
-			served := 0
-			for now := time.Duration(0); now < 10*time.Second; now += step {
-				total := 0
-				for i := range running {
-					for len(running[i]) > 0 && running[i][0] <= now {
-						running[i] = running[i][1:]
-					}
-					total += len(running[i])
-				}
-				if now%stale == 0 {
-					for i := range running {
-						told[i] = len(running[i])
-					}
-				}
-				for range int(5 * float64(slots) * float64(step) / float64(work)) {
-					i := random.IntN(hosts)
-					l := limiters[i]
-					u := Upstream{Instance: 1, Service: "svc", Slots: slots, Own: len(running[i]), Others: sum(told) - told[i]}
-					if l.Wait(u, names, now) > 0 {
-						continue
-					}
-					if total >= slots {
-						l.Rejected(u, names, now)
-						rejected = append(rejected, now)
-						continue
-					}
-					total++
-					served++
-					running[i] = append(running[i], now+work)
-				}
-			}
-			for i := range rejected[:max(len(rejected)-limit, 0)] {
-				require.Greater(t, rejected[i+limit]-rejected[i], time.Second, "%d rejections in a second", limit+1)
+			r := newReplay(hosts)
+			r.run()
+			for i := range r.rejected[:max(len(r.rejected)-limit, 0)] {
+				require.Greater(t, r.rejected[i+limit]-r.rejected[i], time.Second, "%d rejections in a second", limit+1)
 			}
-			most := int(10 * time.Second / work * slots)
-			require.Greater(t, served, most/3, "of %d that it can run", most)
+			most := int(replayFor / work * slots)
+			require.Greater(t, r.served, most/3, "of %d that it can run", most)
 		})
 	}
 }
