--- a/internal/gateway/brittle/brittle.go
+++ b/internal/gateway/brittle/brittle.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// rejectedShare is the share of the rejections that an upstream bears in a second which
-	// all hosts together cause. A host may cause those of a second at once and go on, so it
-	// is half of what would be too much, and half of that for loads that are out of date.
+	// rejectedShare is the share of an upstream's limit of rejections per second that all
+	// hosts together use. The rejections of two seconds can fall into one, and the loads that
+	// hosts know of each other are out of date.
 	rejectedShare = 0.25
-	// fillersPerRejection is the number of hosts that fill an upstream to its last slot, for
-	// each rejection per second that it bears. Each of them may cause one at any time.
+	// fillersPerRejection is the number of hosts that may use all slots of an upstream, per
+	// rejection per second of its limit. Two of them may take the same free slot.
 	fillersPerRejection = 0.5
-	// othersFill is the share of the slots that other hosts fill.
+	// othersFill is the share of the slots up to which other hosts send.
 	othersFill = 0.75
 	// roomWait is the pause after which a host looks for a free slot again.
 	roomWait = 250 * time.Millisecond
@@ -29,7 +29,8 @@
 
 // service is what the upstreams of a service say.
 type service struct {
-	// limit is the number of rejections in a second that an upstream bears.
+	// limit is the highest number of rejections per second that does not make an upstream
+	// fall over.
 	limit  int
 	saidAt time.Duration
 }
@@ -64,8 +65,8 @@
 	Own, Others int
 }
 
-// Said records how many rejections in a second an upstream of a service says that it bears, 0
-// if it does not say that it is brittle. All upstreams of a service are brittle at a time.
+// Said records the limit of rejections per second that an upstream of a service states, 0 if it
+// states none. It counts for all upstreams of the service.
 func (l *Limiter) Said(name string, limit int, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -161,8 +162,8 @@
 }
 
 // refilled returns the allowance at an upstream as it is at now. A host that may not fill the
-// upstream begins without one: where hosts outnumber the rejections that it bears, each of them
-// would cause one at the same time. l.mu must be held.
+// upstream begins with none: if there are more hosts than the limit, they could exceed it with
+// one rejection each. l.mu must be held.
 func (l *Limiter) refilled(u Upstream, s service, hosts []string, now time.Duration) allowance {
 	perSecond := rate(s, len(hosts))
 	most := max(perSecond, 1)
--- a/internal/gateway/brittle/brittle_test.go
+++ b/internal/gateway/brittle/brittle_test.go
@@ -59,8 +59,7 @@
 	require.Zero(t, l.Wait(idle, hostNames(1), 0))
 }
 
-// The replay of an overload: an upstream with some slots, and hosts that know of each other's
-// requests as they were told last.
+// Parameters of the simulated overload of one upstream.
 const (
 	slots     = 8
 	work      = 100 * time.Millisecond
@@ -70,12 +69,14 @@
 	overload  = 5
 )
 
+// replay simulates hosts that send to one upstream and learn of each other's requests every
+// tellEvery.
 type replay struct {
 	random   *rand.Rand
 	names    []string
 	limiters []*Limiter
-	// ends holds the ends of the running requests by host, and told their numbers as all
-	// hosts know them.
+	// ends holds when the running requests of each host end, and told the number of these
+	// requests that all hosts know.
 	ends     [][]time.Duration
 	told     []int
 	rejected []time.Duration
