--- a/internal/gateway/duty/rollouts_test.go
+++ b/internal/gateway/duty/rollouts_test.go
@@ -48,19 +48,26 @@
 	return 0
 }
 
+// newRolledBackSimulation returns a simulation in which a version was just rolled back, and the
+// holder that did so.
+func newRolledBackSimulation(t *testing.T) (*simulation, *host) {
+	sim := newSimulation(3, 1)
+	sim.run(3 * time.Second)
+	sim.orderRollout(false)
+	sim.run(2 * time.Second)
+	holder := sim.holder()
+	require.Positive(t, holder.share())
+	sim.badTarget = true
+	sim.run(500 * time.Millisecond)
+	require.Zero(t, holder.share())
+	return sim, holder
+}
+
 // Guards against a second start of a version that was rolled back, since the copy shows its
 // rollout as running, or lacks it, and the holder that rolled it back is gone.
 func TestVersionThatWasRolledBackGetsNoSecondStartBehindADrill(t *testing.T) {
 	for _, age := range []time.Duration{time.Second, 20 * time.Second} {
-		sim := newSimulation(3, 1)
-		sim.run(3 * time.Second)
-		sim.orderRollout(false)
-		sim.run(2 * time.Second)
-		holder := sim.holder()
-		require.Positive(t, holder.share())
-		sim.badTarget = true
-		sim.run(500 * time.Millisecond)
-		require.Zero(t, holder.share())
+		sim, holder := newRolledBackSimulation(t)
 		holder.alive = false
 		sim.badTarget = false
 		sim.restoreCopy(age)
@@ -79,14 +86,7 @@
 // duties behind a copy has started after it, and those that remember it can't write the log.
 func TestVersionThatWasRolledBackStaysSoForAClaimantWithoutMemory(t *testing.T) {
 	for _, age := range []time.Duration{time.Second, 20 * time.Second} {
-		sim := newSimulation(3, 1)
-		sim.run(3 * time.Second)
-		sim.orderRollout(false)
-		sim.run(2 * time.Second)
-		holder := sim.holder()
-		sim.badTarget = true
-		sim.run(500 * time.Millisecond)
-		require.Zero(t, holder.share())
+		sim, holder := newRolledBackSimulation(t)
 		sim.badTarget = false
 		sim.restoreCopy(age)
 		claimant := -1
