wire: the codec of RPCs between hosts, moved from relay

Cause: a second RPC service between hosts needs the same msgpack codec, which was private to package relay. Evidence: go test ./internal/gateway/relay ./internal/gateway/wire passes; the code has only moved and is exported.

--- a/internal/gateway/relay/codec_test.go
+++ b/internal/gateway/relay/codec_test.go
@@ -19,10 +19,10 @@
 
 func TestDeeplyNestedMessageIsRejected(t *testing.T) {
 	var a Response
-	require.ErrorIs(t, codec{}.Unmarshal(nested(maxResponseBytes-3), &a), wire.ErrNestingTooDeep)
-	require.ErrorIs(t, codec{}.Unmarshal(nested(wire.MaxNesting), &a), wire.ErrNestingTooDeep)
+	require.ErrorIs(t, wire.Codec{}.Unmarshal(nested(maxResponseBytes-3), &a), wire.ErrNestingTooDeep)
+	require.ErrorIs(t, wire.Codec{}.Unmarshal(nested(wire.MaxNesting), &a), wire.ErrNestingTooDeep)
 	shallow := append(nested(wire.MaxNesting-2), 0x01)
-	require.NotErrorIs(t, codec{}.Unmarshal(shallow, &a), wire.ErrNestingTooDeep)
+	require.NotErrorIs(t, wire.Codec{}.Unmarshal(shallow, &a), wire.ErrNestingTooDeep)
 }
 
 func TestReaderSurvivesDeeplyNestedMessage(t *testing.T) {
@@ -44,15 +44,15 @@
 		&Request{Operator: 3, Upstreams: -1, Wait: MaxWait},
 		&Response{Operator: catalog.OperatorUpdate{Next: 4, Changes: []catalog.OperatorChange{{Zone: "z"}}}},
 	} {
-		data, err := codec{}.Marshal(message)
+		data, err := wire.Codec{}.Marshal(message)
 		require.NoError(f, err)
 		f.Add(data)
 	}
 	f.Add(nested(40))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var request Request
-		_ = codec{}.Unmarshal(data, &request)
+		_ = wire.Codec{}.Unmarshal(data, &request)
 		var response Response
-		_ = codec{}.Unmarshal(data, &response)
+		_ = wire.Codec{}.Unmarshal(data, &response)
 	})
 }
--- a/internal/gateway/relay/rpc.go
+++ b/internal/gateway/relay/rpc.go
@@ -11,6 +11,7 @@
 
 	"github.com/marigoldmux/marigoldmux/internal/boottime"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/wire"
 )
 
 // ErrReaderUnavailable is the root of errors from requests to a reader.
@@ -63,12 +64,12 @@
 			r.Wait = max(min(r.Wait, MaxWait), 0)
 			resp := c.Respond(ctx, r, receivedAt)
 			return connect.NewResponse(&resp), nil
-		}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
+		}, connect.WithCodec(wire.Codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
 	mux.Handle(hostsProcedure, connect.NewUnaryHandler(hostsProcedure,
 		func(context.Context, *connect.Request[HostsRequest]) (*connect.Response[Hosts], error) {
 			known := hosts()
 			return connect.NewResponse(&known), nil
-		}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
+		}, connect.WithCodec(wire.Codec{}), connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
@@ -90,7 +91,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+responseMargin)
 	defer cancel()
 	client := connect.NewClient[Request, Response](c.http, "http://"+address+procedure,
-		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxResponseBytes))
+		connect.WithCodec(wire.Codec{}), connect.WithReadMaxBytes(maxResponseBytes))
 	resp, err := client.CallUnary(ctx, connect.NewRequest(&r))
 	if err != nil {
 		return Response{}, eris.Wrap(ErrReaderUnavailable, err.Error())
@@ -103,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, responseMargin)
 	defer cancel()
 	client := connect.NewClient[HostsRequest, Hosts](c.http, "http://"+address+hostsProcedure,
-		connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxResponseBytes))
+		connect.WithCodec(wire.Codec{}), connect.WithReadMaxBytes(maxResponseBytes))
 	resp, err := client.CallUnary(ctx, connect.NewRequest(&HostsRequest{}))
 	if err != nil {
 		return Hosts{}, eris.Wrap(ErrReaderUnavailable, err.Error())
