poison: crashes of all upstreams at once count

Cause: a host that reaches none of several upstreams takes itself for cut off and drops the evidence of a crash. That is so too when all have crashed.

TestLossesOfAHostThatIsCutOffAreNoCrashes fails without the check of reach ("new connections are refused").

Why this works: an isolated host asks up to three peers, those of other zones first, to probe the upstream. If one reaches it, the host is cut off and the losses don't count; if none does, they do.

--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -23,6 +23,7 @@
 	eventPartHeld = event.Define(909, zapcore.WarnLevel, "requests with a part held")
 	eventTrial    = event.Define(929, zapcore.WarnLevel, "held request tried")
 	eventCleared  = event.Define(930, zapcore.InfoLevel, "suspect cleared")
+	eventCutOff   = event.Define(952, zapcore.InfoLevel, "upstream out of reach of this host only")
 )
 
 // traits returns what the request may have in common with others that crash upstreams.
@@ -139,8 +140,8 @@
 // emits events about the crash and the requests held from then on.
 func (h *Handler) checkCrashed(m *catalog.Member) {
 	err := upconn.Check(m.Address)
-	if err != nil && h.Reach.Check(h.ending) {
-		// This host was cut off from the upstream.
+	if err != nil && h.Reach.Check(h.ending) && !h.Witnesses.Gone(h.ending, m.ID) {
+		h.Events.Emit(eventCutOff, zap.String("upstream", m.ID), event.Err(err))
 		err = nil
 	}
 	lost, held := h.Poison.FinishCheck(instanceKey(m), err != nil, boottime.Now())
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/marigoldmux/marigoldmux/internal/event"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/catalog"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/members"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/reach"
 )
 
 // Events about whether this host reaches upstreams.
@@ -43,6 +46,25 @@
 	return all
 }
 
+// look returns what this host sees of an upstream.
+func (g *Gateway) look(ctx context.Context, upstream string) reach.Sight {
+	for _, m := range g.upstreams() {
+		if m.ID == upstream {
+			return g.reach.Look(ctx, m.Address)
+		}
+	}
+	return reach.Unknown
+}
+
+// witnesses returns the peers that may be asked about upstreams.
+func (g *Gateway) witnesses() []reach.Peer {
+	var all []reach.Peer
+	for _, peer := range g.loop.Snapshot().Peers {
+		all = append(all, reach.Peer{Address: peer.PeerAddress, Near: peer.Zone == g.options.AvailabilityZone, Isolated: peer.Extension.Isolated})
+	}
+	return all
+}
+
 // reachChanged emits an event when this host is cut off from all upstreams, and when it no
 // longer is.
 func (g *Gateway) reachChanged(isolated bool) {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -21,6 +21,7 @@
 	"github.com/marigoldmux/marigoldmux/internal/connstate"
 	"github.com/marigoldmux/marigoldmux/internal/delivery"
 	"github.com/marigoldmux/marigoldmux/internal/event"
+	"github.com/marigoldmux/marigoldmux/internal/gateway/reach"
 	"github.com/marigoldmux/marigoldmux/internal/gateway/relay"
 )
 
@@ -96,6 +97,14 @@
 	return memoryMB << 20 / part
 }
 
+// peerServices returns the handler of the RPCs of peers.
+func (g *Gateway) peerServices() http.Handler {
+	services := http.NewServeMux()
+	services.Handle("/", relay.Handler(g.updates.copy, g.hosts))
+	services.Handle(reach.Handler(g.look))
+	return services
+}
+
 // listen serves on all addresses of the host and returns the socket for the digests of
 // peers. It waits for addresses that are in use until ctx is done, but does not wait for that of
 // the metrics.
@@ -104,7 +113,7 @@
 		g.newServer(callersName, g.options.Listen.Callers, g.forward),
 		g.newServer("readiness", g.options.Listen.Readiness, g.ports.ReadyHandler(g.ready)),
 		g.newServer("directory", g.options.Listen.Directory, g.ports.DirectoryHandler(g)),
-		g.newServer("peers", g.peerAddress, g.forward.PeerHandler(relay.Handler(g.updates.copy, g.hosts))),
+		g.newServer("peers", g.peerAddress, g.forward.PeerHandler(g.peerServices())),
 	}
 	g.servers = needed
 	if g.options.MetricsPort > 0 {
--- a/internal/gateway/reach/reach.go
+++ b/internal/gateway/reach/reach.go
@@ -139,6 +139,17 @@
 	return m.Isolated()
 }
 
+// Look returns what this host sees of an upstream.
+func (m *Monitor) Look(ctx context.Context, address string) Sight {
+	switch {
+	case m.probe(ctx, address) == nil:
+		return Reached
+	case m.Check(ctx):
+		return AllOutOfReach
+	}
+	return OutOfReach
+}
+
 // awaitReturn probes one upstream at a time until one is reached.
 func (m *Monitor) awaitReturn(ctx context.Context) {
 	for ctx.Err() == nil {
