poison: a trial that no upstream has run is made again

Cause: the trial of a held part was used up when a request was let through, also if no upstream was up to run it. The first one is due 1 s after the last crash, while crashed upstreams are still away; the next comes 5 s later.

Why this works: a request whose trial was not run gives it back, so the next request is the trial. Meanwhile one request at a time is tried, by one host.

--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -199,6 +199,8 @@
 	upstreamPause time.Duration
 	// placed is how the request was placed if that was by the expected wait.
 	placed enginePlacement
+	// trial is set while the request is a trial of held parts that no upstream has run.
+	trial poison.Verdict
 	// fallback is an error response of an upstream, sent to the caller if no
 	// further attempt succeeds.
 	fallback *bufferedResponse
--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -43,13 +43,14 @@
 // content or a part of their prompts in common crashed upstreams. If it is, it has been
 // ended.
 func (p *proxyRequest) admitPoison() bool {
-	if !p.h.Poison.Any() {
+	if p.trial.Trial || !p.h.Poison.Any() {
 		return true
 	}
 	hosts := p.h.Snapshots.Snapshot().SenderNames
 	verdict := p.h.Poison.Judge(p.traits(), p.h.Host, hosts, boottime.Now())
 	switch {
 	case verdict.Trial:
+		p.trial = verdict
 		p.h.Stats.PoisonTrials.Add(1)
 		p.h.Events.Emit(eventTrial, zap.String("request", p.call.ID), zap.String("part", verdict.Trait.Part))
 	case verdict.HeldUntil > 0:
@@ -59,6 +60,13 @@
 	return true
 }
 
+// returnTrial gives the trial back that the request is, if no upstream has run it.
+func (p *proxyRequest) returnTrial() {
+	if p.trial.Trial {
+		p.h.Poison.ReturnTrial(p.trial)
+	}
+}
+
 // refuseHeld ends a request that is held.
 func (p *proxyRequest) refuseHeld(verdict poison.Verdict) {
 	p.h.Stats.HeldRequests.Add(1)
@@ -75,8 +83,11 @@
 }
 
 // recordCrashEvidence records a lost response, after which the upstream is
-// checked for a crash, or a complete one.
+// checked for a crash, or a complete one. A trial that an upstream may have run is over.
 func (p *proxyRequest) recordCrashEvidence(m *catalog.Member, result outcome) {
+	if result.disposition != notSent && result.disposition != notRun {
+		p.trial = poison.Verdict{}
+	}
 	switch {
 	case result.disposition == unknown && result.responseLost && !p.departing(m):
 		p.recordLostStream(m, result.sentAt)
--- a/internal/gateway/forward/serve.go
+++ b/internal/gateway/forward/serve.go
@@ -21,6 +21,7 @@
 // serve makes attempts until the request has a response or no further attempt
 // is allowed.
 func (p *proxyRequest) serve() {
+	defer p.returnTrial()
 	p.h.Retry.CountRequest(p.service, boottime.Now())
 	p.h.InFlight.CountDemand(p.service, uncachedTokens(p.call))
 	for {
--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	// Trial is set when the request is let through to find out whether requests with its
 	// parts still crash upstreams.
 	Trial bool
+	// slots are the slots that the trial takes, by trait.
+	slots map[uint64]trialSlot
 }
 
 // suspect is a trait with enough crashes for a hold.
@@ -44,8 +47,8 @@
 		return Verdict{}
 	}
 	first := suspects[0]
-	if t.startTrial(suspects, self, hosts, now) {
-		return Verdict{Trait: first.Trait, Trial: true}
+	if slots := t.startTrial(suspects, self, hosts, now); slots != nil {
+		return Verdict{Trait: first.Trait, Trial: true, slots: slots}
 	}
 	return Verdict{HeldUntil: first.times[len(first.times)-crashesToHold] + t.byTrait[first.Key].ttl(), Trait: first.Trait}
 }
@@ -153,25 +156,37 @@
 	return trialSlot{rounds, int(waited / trialSlotLength)}, true
 }
 
-// startTrial reports whether a request that is held for the given suspects is let through,
-// and marks them as tried. A request that is held for its content is not.
-func (t *Table) startTrial(suspects []suspect, self string, hosts []string, now time.Duration) bool {
+// ReturnTrial gives a trial back that no upstream has run, so that another request is let
+// through in its place.
+//
+// Scenario: a popular part is due for a trial while no upstream is up yet.
+func (t *Table) ReturnTrial(verdict Verdict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for trait, slot := range verdict.slots {
+		if t.trials[trait] == slot {
+			delete(t.trials, trait)
+		}
+	}
+}
+
+// startTrial returns the slots of a trial if a request that is held for the given suspects is
+// let through, and marks them as tried. A request that is held for its content is not.
+func (t *Table) startTrial(suspects []suspect, self string, hosts []string, now time.Duration) map[uint64]trialSlot {
 	slots := map[uint64]trialSlot{}
 	for _, s := range suspects {
 		slot, due := s.slotAt(now)
 		last, tried := t.trials[s.Key]
 		if s.Part == "" || !due || tried && last == slot {
-			return false
+			return nil
 		}
 		slots[s.Key] = slot
 	}
 	// The first part determines the host that tries all parts of the request.
 	first := suspects[0].Key
 	if rendezvous.First(fmt.Sprintf("trial/%d/%d/%d", first, slots[first].round, slots[first].number), hosts) != self {
-		return false
-	}
-	for trait, slot := range slots {
-		t.trials[trait] = slot
+		return nil
 	}
-	return true
+	maps.Copy(t.trials, slots)
+	return slots
 }
--- a/internal/gateway/poison/part_test.go
+++ b/internal/gateway/poison/part_test.go
@@ -180,6 +180,25 @@
 	require.False(t, isHeld(b, prompt(50, "system"), 7*time.Second))
 }
 
+// Scenario: all engines crash at once, and none is up yet when the first trial of a part that
+// they had in common is due.
+func TestTrialThatNoEngineHasRunIsMadeAgain(t *testing.T) {
+	table, hosts := poison.NewTable(), []string{"host"}
+	for i := range uint64(9) {
+		crashUnder(table, fmt.Sprint("u", i), time.Second, prompt(i, "system", "own"))
+	}
+	dueAt, upAt := 5*time.Second, 7*time.Second
+	for now := dueAt; now < upAt; now += 100 * time.Millisecond {
+		verdict := table.Judge(prompt(uint64(now), "system", "own"), "host", hosts, now)
+		require.True(t, verdict.Trial, now)
+		require.False(t, table.Judge(prompt(uint64(now), "system", "own"), "host", hosts, now).Trial, "one at a time")
+		table.ReturnTrial(verdict)
+	}
+	require.True(t, table.Judge(prompt(50, "system", "own"), "host", hosts, upAt).Trial)
+	table.RecordAnswering(prompt(50, "system", "own"), upAt)
+	require.False(t, isHeld(table, prompt(51, "system", "own"), upAt))
+}
+
 // Scenario: requests with a part that crashes engines come to all hosts for an hour.
 func TestTrialsOfACrashingPartAreFew(t *testing.T) {
 	const maxLate = 3
