poison: a trial that is lost to another part is made again soon

Cause: a slot of trials was known by its round and its number since the last crash. A crash that another part explains begins no round, so the slot after it had the same numbers and counted as tried.

Evidence: traces of the soak in a scratch copy with five times the usual share of crashing requests. TestTrialThatIsLostToAnotherPartIsMadeAgainSoon failed before.

Why this works: the number of crashes is part of the slot. A part that does crash upstreams gains a round with each failed trial, so it is tried as often as before (TestTrialsOfACrashingPartAreFew).

--- a/internal/gateway/poison/hold.go
+++ b/internal/gateway/poison/hold.go
@@ -136,9 +136,9 @@
 
 // trialSlot is a time in which one host may let one request through.
 type trialSlot struct {
-	// round is the number of rounds of crashes so far that nothing else explains, and
-	// number that of the slot since the last crash, from 0 on.
-	round, number int
+	// round is the number of rounds of crashes so far that nothing else explains, crashes
+	// that of all crashes, and number that of the slot since the last crash, from 0 on.
+	round, crashes, number int
 }
 
 // slotAt returns the slot at a time, and false before the first.
@@ -153,7 +153,7 @@
 	if waited < 0 {
 		return trialSlot{}, false
 	}
-	return trialSlot{rounds, int(waited / trialSlotLength)}, true
+	return trialSlot{rounds, len(s.times), int(waited / trialSlotLength)}, true
 }
 
 // ReturnTrial gives a trial back that no upstream has run, so that another request is let
--- a/internal/gateway/poison/part_test.go
+++ b/internal/gateway/poison/part_test.go
@@ -199,6 +199,24 @@
 	require.False(t, isHeld(table, prompt(51, "system", "own"), upAt))
 }
 
+// Scenario: a trial of a popular part is at an engine that crashes under another request, whose
+// part explains all crashes.
+func TestTrialThatIsLostToAnotherPartIsMadeAgainSoon(t *testing.T) {
+	table, hosts := poison.NewTable(), []string{"host"}
+	sound := func(now time.Duration) poison.Verdict {
+		return table.Judge(prompt(uint64(now), "system"), "host", hosts, now)
+	}
+	for i := range uint64(9) {
+		crashUnder(table, fmt.Sprint("u", i), time.Second, prompt(i, "system", "deadly"))
+	}
+	const due = 2 * time.Second
+	require.True(t, sound(due).Trial)
+	crashUnder(table, "u9", due, prompt(uint64(due), "system"), prompt(100, "system", "deadly"))
+	require.False(t, sound(due+900*time.Millisecond).Trial, "a part that crashes engines has few trials")
+	require.True(t, sound(due+time.Second).Trial)
+	require.False(t, sound(due+1100*time.Millisecond).Trial)
+}
+
 // Scenario: requests with a part that crashes engines come to all hosts for an hour.
 func TestTrialsOfACrashingPartAreFew(t *testing.T) {
 	const maxLate = 3
