upconn: a restart behind a silence is told from a sound upstream

Cause: the end of a connection was taken for the end of its response if the upstream's address kept a new connection open for 150 ms. Behind a freeze of the host, or a cut, another process may run there by then.

Why this works: one connection to the upstream is opened when such a response begins, and shared by all that run. If it is open 150 ms behind the end, the process that accepted it still runs. If it was closed, a new connection proves something only where the end was read without a gap of 250 ms, in which no process ends and starts again.

A response costs one new connection, as before, or less where several run at once.

--- a/internal/gateway/forward/attempt.go
+++ b/internal/gateway/forward/attempt.go
@@ -69,6 +69,8 @@
 	answering    bool
 	// events is the number of events that the upstream sent in this attempt.
 	events int
+	// liveness is set for a response without a length.
+	liveness *upconn.LivenessConn
 	// writeFailed is set when the upstream did not take the whole request.
 	writeFailed bool
 }
@@ -311,6 +313,7 @@
 	if head.NotRun {
 		return a.discardRejection(resp.Body), outcome{disposition: notRun, reason: "rejected by upstream: " + resp.Status}
 	}
+	defer a.watchLiveness(resp)()
 	success := resp.StatusCode < http.StatusMultipleChoices
 	if success && !head.Signed {
 		return false, a.errorOutcome(errors.New("answer is not signed"))
--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -94,6 +94,7 @@
 	bodies   *bodybuf.Memory
 	lost     lostStreams
 	peers    *peerPool
+	liveness *upconn.LivenessConns
 	stopping atomic.Pointer[StopDeadlines]
 	// ending is done when the process is about to end.
 	ending        context.Context
@@ -112,7 +113,7 @@
 
 // New returns a Handler with the given dependencies.
 func New(deps Deps) *Handler {
-	h := &Handler{Deps: deps, bodies: bodybuf.NewMemory(maxBufferedBytes), peers: newPeerPool()}
+	h := &Handler{Deps: deps, bodies: bodybuf.NewMemory(maxBufferedBytes), peers: newPeerPool(), liveness: upconn.NewLivenessConns()}
 	h.ending, h.end = context.WithCancel(context.Background())
 	return h
 }
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -184,6 +184,16 @@
 
 var errEndUnproven = errors.New("upstream may have broken off its response without a length")
 
+// watchLiveness makes sure that the end of a response without a length can be checked, until
+// the function that it returns is called.
+func (a *attempt) watchLiveness(resp *http.Response) (release func()) {
+	if delimited(resp) {
+		return func() {}
+	}
+	a.liveness = a.h.liveness.Get(a.member.ID, a.member.Address)
+	return func() { a.h.liveness.Release(a.liveness) }
+}
+
 // endsWhole reports whether a response that was read to its end is whole. The connection
 // of an upstream that has crashed or was taken away ends like a body without a length, so
 // the upstream must still run some time later, also if it leaves. So does one that was reset
@@ -199,6 +209,14 @@
 	defer cancel()
 	stop := context.AfterFunc(a.h.ending, cancel)
 	defer stop()
+	accepted := a.liveness.Accepted(ctx)
+	switch {
+	case accepted && a.liveness.Outlives(ctx):
+		return true
+	case accepted && !a.conn.Steady():
+		// Another process may run there by now.
+		return false
+	}
 	return upconn.Outlives(ctx, a.member.Address)
 }
 
--- a/internal/gateway/upconn/upconn.go
+++ b/internal/gateway/upconn/upconn.go
@@ -63,6 +63,7 @@
 	headBounded bool
 	// received is set when a byte was read since the latest request was written.
 	received bool
+	flow     flow
 	// idleLimit is how long the connection may be idle before it is closed, and
 	// idleSince the boot time at which it became idle.
 	idleLimit time.Duration
@@ -150,6 +151,7 @@
 	}
 	for {
 		n, err := c.Conn.Read(b)
+		c.flow.record(boottime.Now(), n, err)
 		c.headLeft -= n
 		c.received = c.received || n > 0
 		if n > 0 || c.OnReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -285,6 +287,7 @@
 // connection headers. It returns the number of bytes handed to the kernel.
 func (c *Conn) Write(method, target, host string, header http.Header, body []byte) (int, error) {
 	c.received = false
+	c.flow.begin(boottime.Now())
 	buf := make([]byte, 0, 512+len(body))
 	buf = append(buf, method...)
 	buf = append(buf, ' ')
