members: digests of many customers are sent in fragments

Cause: a digest holds what each customer used. Hosts ignored those of more than 32 KB, and a datagram holds at most 64 KB. So hosts took each other for gone and each granted the whole quota.

By sizes, a digest has 30 KB with loads and 150 KB in full at 1,300 customers.

Why this works: a message that does not fit is sent in up to eight fragments and joined by the receiver, so a digest arrives whole or not at all. A longer one is sent with less detail, down to a heartbeat, and event 918 says so. Messages of up to 32 KB are sent as before.

--- a/internal/gateway/members/codec.go
+++ b/internal/gateway/members/codec.go
@@ -9,14 +9,15 @@
 	"github.com/marigoldmux/marigoldmux/internal/gateway/wire"
 )
 
-// MaxDigestBytes bounds the size of a digest on the wire.
-const MaxDigestBytes = 32 << 10
-
 // ErrDigest is the root of errors about digests that cannot be encoded or
 // decoded.
 var ErrDigest = eris.New("digest cannot be understood")
 
-// Encode encodes a digest as a datagram. Its error is an ErrDigest.
+// ErrTooLong is the error for digests and summaries of more than MaxMessageBytes. It is an
+// ErrDigest.
+var ErrTooLong = eris.Wrap(ErrDigest, "too long")
+
+// Encode encodes a digest as a message. Its error is an ErrDigest.
 func Encode(d *Digest) ([]byte, error) {
 	data, err := msgpack.Marshal(d)
 	if err != nil {
@@ -25,19 +26,26 @@
 	sent := d.Extension
 	sent.Paces = paces(d.VersionStats)
 	if sent.empty() {
-		return data, nil
+		return checkLength(data)
 	}
 	extension, err := msgpack.Marshal(&sent)
 	if err != nil {
 		return nil, eris.Wrap(ErrDigest, err.Error())
 	}
-	return append(data, extension...), nil
+	return checkLength(append(data, extension...))
+}
+
+func checkLength(message []byte) ([]byte, error) {
+	if len(message) > MaxMessageBytes {
+		return nil, eris.Wrapf(ErrTooLong, "%d bytes", len(message))
+	}
+	return message, nil
 }
 
-// Decode decodes a datagram. Its error is an ErrDigest.
+// Decode decodes a message. Its error is an ErrDigest.
 func Decode(data []byte) (Digest, error) {
 	var d Digest
-	if len(data) > MaxDigestBytes {
+	if len(data) > MaxMessageBytes {
 		return d, eris.Wrapf(ErrDigest, "%d bytes", len(data))
 	}
 	if err := wire.Check(data); err != nil {
--- a/internal/gateway/members/summary.go
+++ b/internal/gateway/members/summary.go
@@ -137,23 +137,23 @@
 	return flags
 }
 
-// EncodeSummary encodes a summary as a datagram. Its error is an ErrDigest.
+// EncodeSummary encodes a summary as a message. Its error is an ErrDigest.
 func EncodeSummary(s *Summary) ([]byte, error) {
 	data, err := msgpack.Marshal(s)
 	if err != nil {
 		return nil, eris.Wrap(ErrDigest, err.Error())
 	}
-	return data, nil
+	return checkLength(data)
 }
 
-// IsSummary reports whether a datagram holds a Summary rather than a Digest.
+// IsSummary reports whether a message holds a Summary rather than a Digest.
 func IsSummary(data []byte) bool {
 	return len(data) > 0 && (data[0]>>4 == 0x8 || data[0] == 0xde || data[0] == 0xdf)
 }
 
-// DecodeSummary decodes a datagram. Its error is an ErrDigest.
+// DecodeSummary decodes a message. Its error is an ErrDigest.
 func DecodeSummary(data []byte) (*Summary, error) {
-	if len(data) > MaxDigestBytes {
+	if len(data) > MaxMessageBytes {
 		return nil, eris.Wrapf(ErrDigest, "%d bytes", len(data))
 	}
 	if err := wire.Check(data); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sort"
@@ -23,14 +24,19 @@
 )
 
 func (g *Gateway) receiveDigests(ctx context.Context, socket *net.UDPConn) {
-	buf := make([]byte, members.MaxDigestBytes)
+	buf := make([]byte, members.MaxDatagramBytes)
+	assembler := members.NewAssembler()
 	for ctx.Err() == nil {
-		n, _, err := socket.ReadFromUDPAddrPort(buf)
+		n, from, err := socket.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			sleep(ctx, minReadBackoff)
 			continue
 		}
-		input, err := decodeDatagram(buf[:n])
+		message := assembler.Add(from, buf[:n])
+		if message == nil {
+			continue
+		}
+		input, err := decodeMessage(message)
 		if err != nil {
 			g.events.Emit(eventUndecodable, event.Err(err))
 			continue
@@ -39,8 +45,8 @@
 	}
 }
 
-// decodeDatagram returns the input to the loop that a datagram of a peer holds.
-func decodeDatagram(data []byte) (any, error) {
+// decodeMessage returns the input to the loop that a message of a peer holds.
+func decodeMessage(data []byte) (any, error) {
 	if members.IsSummary(data) {
 		summary, err := members.DecodeSummary(data)
 		return control.SummaryReceived{Summary: summary}, err
@@ -50,48 +56,63 @@
 }
 
 func (g *Gateway) sendDigests(ctx context.Context, socket *net.UDPConn) {
+	// messages counts the messages that were encoded.
+	messages := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case batch := <-g.loop.Outgoing():
-			g.sendBatch(socket, batch)
+			g.sendBatch(socket, batch, &messages)
 		}
 	}
 }
 
-// sendBatch sends the datagrams of a batch; each content is encoded once.
-func (g *Gateway) sendBatch(socket *net.UDPConn, batch control.Batch) {
+// sendBatch sends the messages of a batch; each content is encoded once.
+func (g *Gateway) sendBatch(socket *net.UDPConn, batch control.Batch, messages *uint64) {
 	type content struct {
 		detail members.Detail
 		scope  members.Scope
 	}
-	encoded := map[content][]byte{}
+	encoded := map[content][][]byte{}
 	for _, send := range batch.Sends {
 		to, err := netip.ParseAddrPort(send.Address)
 		if err != nil {
 			continue
 		}
 		key := content{send.Detail, send.Scope}
-		data := encoded[key]
-		if data == nil {
-			if data, err = encodeDatagram(batch, send); err != nil {
+		datagrams := encoded[key]
+		if datagrams == nil {
+			message, err := g.encodeMessage(batch, send)
+			if err != nil {
 				g.events.Emit(eventUndecodable, event.Err(err))
 				return
 			}
-			encoded[key] = data
+			*messages++
+			datagrams = members.Split(message, *messages)
+			encoded[key] = datagrams
+		}
+		for _, datagram := range datagrams {
+			// A failed send is like a lost datagram: the next digest follows, and the
+			// peer drops this host if none arrives.
+			_, _ = socket.WriteToUDPAddrPort(datagram, to)
 		}
-		// A failed send is like a lost datagram: the next digest follows, and the
-		// peer drops this host if none arrives.
-		_, _ = socket.WriteToUDPAddrPort(data, to)
 	}
 }
 
-func encodeDatagram(batch control.Batch, send members.Outgoing) ([]byte, error) {
+// encodeMessage encodes a summary or digest. A digest that is too long is sent with less detail,
+// so that peers still know that this host is live.
+func (g *Gateway) encodeMessage(batch control.Batch, send members.Outgoing) ([]byte, error) {
 	if send.Scope != members.NoScope {
 		return members.EncodeSummary(batch.Summaries[send.Scope])
 	}
-	return members.Encode(batch.Digest.Trim(send.Detail))
+	for detail := send.Detail; ; detail-- {
+		data, err := members.Encode(batch.Digest.Trim(detail))
+		if !errors.Is(err, members.ErrTooLong) || detail == members.Heartbeat {
+			return data, err
+		}
+		g.events.Emit(eventUndecodable, event.Err(err))
+	}
 }
 
 // Digest implements control.Observer.
