gateway: the fragments of a process don't join those of the one before

Seen by no caller: found as the diff was read. A host that started again numbered its long messages from 1 again, so a fragment that was lost before could be replaced by one of another message of the same number and length.

Cause: the number began at 0 in each process. It begins at the incarnation now, which differs for each. A digest that is sent with less detail has an event of its own, 953, in place of "entry cannot be decoded".

Evidence: by reading; no test of ours starts a host between two fragments. Messages of up to 32 KB have no number (TestDigestOfManyCustomersArrives).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	eventLost          = event.Define(916, zapcore.WarnLevel, "dependency lost")
 	eventRegained      = event.Define(917, zapcore.InfoLevel, "dependency regained")
 	eventUndecodable   = event.Define(918, zapcore.WarnLevel, "entry cannot be decoded")
+	eventLongDigest    = event.Define(953, zapcore.WarnLevel, "digest sent with less detail")
 	eventViewChanged   = event.Define(919, zapcore.InfoLevel, "view changed")
 	eventSourceChanged = event.Define(928, zapcore.InfoLevel, "source of the view changed")
 	eventSignal        = event.Define(931, zapcore.InfoLevel, "signal received")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,8 +56,8 @@
 }
 
 func (g *Gateway) sendDigests(ctx context.Context, socket *net.UDPConn) {
-	// messages counts the messages that were encoded.
-	messages := uint64(0)
+	// messages counts the messages that were encoded. It begins elsewhere in each process.
+	messages := g.incarnation
 	for {
 		select {
 		case <-ctx.Done():
@@ -111,7 +111,7 @@
 		if !errors.Is(err, members.ErrTooLong) || detail == members.Heartbeat {
 			return data, err
 		}
-		g.events.Emit(eventUndecodable, event.Err(err))
+		g.events.Emit(eventLongDigest, event.Err(err))
 	}
 }
 
