reach: the witnesses of crashes are an indirect prober

A rename, so that the code uses the field's term; no behavior has changed. Cause: "witnesses" had to be explained. Evidence: go test ./internal/gateway/reach passes.

--- a/internal/gateway/forward/poison.go
+++ b/internal/gateway/forward/poison.go
@@ -151,7 +151,7 @@
 // emits events about the crash and the requests held from then on.
 func (h *Handler) checkCrashed(m *catalog.Member) {
 	err := upconn.Check(m.Address)
-	if err != nil && h.Reach.Check(h.ending) && !h.Witnesses.Gone(h.ending, m.ID) {
+	if err != nil && h.Reach.Check(h.ending) && !h.IndirectProber.Gone(h.ending, m.ID) {
 		h.Events.Emit(eventCutOff, zap.String("upstream", m.ID), event.Err(err))
 		err = nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,7 +199,8 @@
 	g.forward = forward.New(forward.Deps{
 		Codec: ports.Codec, Snapshots: g.loop, InFlight: g.inFlight, Pool: g.pool, Quota: g.quota,
 		Cold: g.cold, Retry: g.retry, Poison: g.poison, Advisories: g.advisories, Brittle: g.brittle, Observed: g.observed, Usage: g.usage, Events: events,
-		Reach: g.reach, Witnesses: reach.NewWitnesses(reach.NewClient().Look, g.witnesses), VersionShares: g, Host: o.Host, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
+		Reach: g.reach, IndirectProber: reach.NewIndirectProber(reach.NewClient().Look, g.probingPeers),
+		VersionShares: g, Host: o.Host, Zone: o.AvailabilityZone, RevokeWithin: o.RevokeKeysWithin.D(), Stats: g.stats,
 	})
 	g.ledger = &ledgerWatch{Keyed: ports.Feed}
 	g.duties = duty.NewDriver(duty.Deps{
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -56,8 +56,8 @@
 	return reach.Unknown
 }
 
-// witnesses returns the peers that may be asked about upstreams.
-func (g *Gateway) witnesses() []reach.Peer {
+// probingPeers returns the peers that may be asked to probe upstreams.
+func (g *Gateway) probingPeers() []reach.Peer {
 	var all []reach.Peer
 	for _, peer := range g.loop.Snapshot().Peers {
 		all = append(all, reach.Peer{Address: peer.PeerAddress, Near: peer.Zone == g.options.AvailabilityZone, Isolated: peer.Extension.Isolated})
