--- a/internal/gateway/forward/handler.go
+++ b/internal/gateway/forward/handler.go
@@ -72,7 +72,8 @@
 	Events   *event.Logger
 	// Reach knows whether this host is cut off from all upstreams.
 	Reach *reach.Monitor
-	// IndirectProber tells upstreams that crashed all together from a host that is cut off.
+	// IndirectProber finds out, through peers, whether upstreams that this host does not reach
+	// have crashed.
 	IndirectProber *reach.IndirectProber
 	// VersionShares returns the share, from 0 to 1, of a service's requests that
 	// go to the target version of a rollout.
--- a/internal/gateway/reach/indirect_test.go
+++ b/internal/gateway/reach/indirect_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// asked returns a prober whose peers see the upstream as told, the address of each being its
-// place in the list, and counts the questions.
+// asked returns a prober with one peer for each sight, which that peer responds with, and counts
+// the questions. Peer i has the address "i".
 func asked(sights []Sight, adjust func(i int, p *Peer), questions *atomic.Int64) *IndirectProber {
 	peers := make([]Peer, len(sights))
 	for i := range peers {
--- a/internal/gateway/upconn/liveness.go
+++ b/internal/gateway/upconn/liveness.go
@@ -12,8 +12,8 @@
 // minRestart is shorter than the time in which an upstream ends and starts again.
 const minRestart = 250 * time.Millisecond
 
-// flow tells whether the end of a response was read soon after it came: what comes while this
-// host pauses, or while the network is cut, is read in one go later.
+// flow records when parts of a response are read. After a pause of this host or a cut of the
+// network, parts that came long before are read at once.
 type flow struct {
 	// lastAt is the boot time of the last read, or of the request before the first.
 	lastAt time.Duration
