--- a/internal/gateway/brittle/brittle_test.go
+++ b/internal/gateway/brittle/brittle_test.go
@@ -75,9 +75,9 @@
 	random   *rand.Rand
 	names    []string
 	limiters []*Limiter
-	// ends holds when the running requests of each host end, and told the number of these
-	// requests that all hosts know.
-	ends     [][]time.Duration
+	// ends holds, for each host, the times at which its running requests end.
+	ends [][]time.Duration
+	// told is the number of running requests that each host last told the others.
 	told     []int
 	rejected []time.Duration
 	served   int
